--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,388 @@
+// Package balancer counts the work of the upstreams that a host owns and picks
+// the one that runs the next request.
+//
+// The owner's own counts and outcomes decide. What an upstream reports about
+// its load lags and may mislead, so it breaks ties at most. An upstream is
+// ejected after repeated failures, but never more than half of a service's
+// upstreams at once, so that wrong evidence cannot empty an availability zone.
+//
+// # Usage
+//
+//	t := balancer.New(balancer.LeastExpected)
+//	t.Own(upstreams, now)
+//	u, ok := t.Acquire("fitchart", balancer.Demand{}, now)
+//	...
+//	t.Release(u.Name, balancer.Result{State: core.Answered, Duration: d}, now)
+//
+// Lock order: Table.mu is a leaf.
+package balancer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// How an upstream's limit and standing change.
+const (
+	// rampStep is the time in which a limited upstream gains one slot.
+	rampStep = 100 * time.Millisecond
+	// ejectAfter is the number of failures in a row that eject an upstream.
+	ejectAfter = 3
+	// ejectBase is the first ejection; each further one doubles it.
+	ejectBase = time.Second
+	// ejectMost is the longest ejection.
+	ejectMost = 30 * time.Second
+	// smoothing is the weight of a new service time in the running mean.
+	smoothing = 0.2
+	// staleAfter is how long a service time is believed without a new one.
+	staleAfter = 5 * time.Second
+)
+
+// State is what the owner knows of one upstream.
+type State struct {
+	core.Upstream
+	InFlight int
+	// Limit is the number of slots in use now, at most Upstream.Slots.
+	Limit int
+	// Mean is the running mean of service times; 0 before the first.
+	Mean time.Duration
+	// Measured is when Mean last changed.
+	Measured time.Time
+	// Reported is the load that the upstream itself reports, 0 to 1.
+	Reported float64
+	// Leaving is the upstream's own word that it drains.
+	Leaving bool
+	// Listed says that the platform's list shows it as leaving.
+	Listed bool
+	// Elsewhere is the number of requests of earlier owners that still run.
+	Elsewhere int
+	// EjectedUntil is in the past for an upstream in good standing.
+	EjectedUntil time.Time
+
+	owned     bool
+	rampedAt  time.Time
+	failures  int
+	ejections int
+	picked    uint64
+}
+
+// Free returns the number of free slots.
+func (s *State) Free() int {
+	return max(0, s.Limit-s.InFlight-s.Elsewhere)
+}
+
+// Result is what became of an attempt.
+type Result struct {
+	State core.RunState
+	// Duration is the time between sending and the whole answer.
+	Duration time.Duration
+	// Shed says that the upstream refused for lack of room.
+	Shed bool
+	// Cancelled says that the attempt ended for the caller's reasons.
+	Cancelled bool
+}
+
+// Demand is what an acquisition asks for.
+type Demand struct {
+	// Reserve is the number of slots that must stay free.
+	Reserve int
+	// Exclude lists upstreams that were already tried.
+	Exclude []core.UpstreamName
+}
+
+// Table holds the upstreams that this host owns, and those it gave away while
+// their last requests run.
+type Table struct {
+	// Policy picks among free upstreams.
+	Policy Policy
+
+	mu     sync.Mutex
+	states map[core.UpstreamName]*State
+	byName map[core.ServiceName][]*State
+	picks  uint64
+}
+
+// New returns a table with the given policy.
+func New(policy Policy) *Table {
+	return &Table{
+		Policy: policy,
+		states: map[core.UpstreamName]*State{},
+		byName: map[core.ServiceName][]*State{},
+	}
+}
+
+// Own replaces the set of owned upstreams. An upstream that is new to the table
+// was another host's until now or is cold, so its limit starts at half of its
+// slots and grows.
+func (t *Table) Own(upstreams []core.Upstream, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.states {
+		s.owned = false
+	}
+	for _, u := range upstreams {
+		t.own(u, now)
+	}
+	t.index()
+}
+
+func (t *Table) own(u core.Upstream, now time.Time) {
+	s := t.states[u.Name]
+	if s == nil || s.Address != u.Address {
+		s = &State{Upstream: u, Limit: max(1, u.Slots/2), rampedAt: now}
+		t.states[u.Name] = s
+	}
+	s.Limit = min(s.Limit, u.Slots)
+	s.Upstream = u
+	s.owned = true
+}
+
+// index rebuilds the lists by service and drops what is no longer needed.
+func (t *Table) index() {
+	clear(t.byName)
+	for n, s := range t.states {
+		if !s.owned && s.InFlight == 0 {
+			delete(t.states, n)
+			continue
+		}
+		if s.owned {
+			t.byName[s.Service] = append(t.byName[s.Service], s)
+		}
+	}
+	for _, list := range t.byName {
+		slices.SortFunc(list, func(a, b *State) int { return cmp.Compare(a.Name, b.Name) })
+	}
+}
+
+// Acquire takes a slot of an upstream of the service.
+func (t *Table) Acquire(service core.ServiceName, demand Demand, now time.Time) (core.Upstream, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.byName[service]
+	var buffer [maxCandidates]*State
+	candidates := buffer[:0]
+	free := 0
+	for _, s := range list {
+		t.ramp(s, now)
+		if !s.isUsable(now) {
+			continue
+		}
+		free += s.Free()
+		if s.Free() > 0 && !slices.Contains(demand.Exclude, s.Name) {
+			candidates = append(candidates, s)
+		}
+	}
+	if len(candidates) == 0 || free <= demand.Reserve {
+		return core.Upstream{}, false
+	}
+	chosen := t.Policy.Pick(candidates, t.picks, now)
+	t.picks++
+	chosen.picked = t.picks
+	chosen.InFlight++
+	return chosen.Upstream, true
+}
+
+// maxCandidates is the number of candidates held without an allocation.
+const maxCandidates = 32
+
+// isUsable reports whether an upstream may get new work.
+func (s *State) isUsable(now time.Time) bool {
+	return !s.Leaving && !s.Listed && !s.Draining && !now.Before(s.EjectedUntil)
+}
+
+// ramp grows a limited upstream by one slot a step.
+func (t *Table) ramp(s *State, now time.Time) {
+	if s.Limit >= s.Slots {
+		s.rampedAt = now
+		return
+	}
+	steps := int(now.Sub(s.rampedAt) / rampStep)
+	if steps <= 0 {
+		return
+	}
+	s.Limit = min(s.Slots, s.Limit+steps)
+	s.rampedAt = now
+}
+
+// Release gives a slot back and takes in what became of the attempt.
+func (t *Table) Release(name core.UpstreamName, result Result, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[name]
+	if s == nil {
+		return
+	}
+	s.InFlight--
+	t.judge(s, result, now)
+	if !s.owned && s.InFlight == 0 {
+		delete(t.states, name)
+	}
+}
+
+func (t *Table) judge(s *State, result Result, now time.Time) {
+	switch {
+	case result.Cancelled:
+	case result.Shed:
+		s.Limit = max(1, min(s.Limit, s.InFlight))
+		s.rampedAt = now
+	case result.State == core.Answered:
+		s.failures, s.ejections = 0, 0
+		s.measure(result.Duration, now)
+	default:
+		s.failures++
+		t.eject(s, now)
+	}
+}
+
+// measure takes in a service time.
+func (s *State) measure(d time.Duration, now time.Time) {
+	if s.Mean == 0 || now.Sub(s.Measured) > staleAfter {
+		s.Mean = d
+	} else {
+		s.Mean += time.Duration(smoothing * float64(d-s.Mean))
+	}
+	s.Measured = now
+}
+
+// eject takes an upstream out after repeated failures, up to half of its
+// service.
+func (t *Table) eject(s *State, now time.Time) {
+	if s.failures < ejectAfter {
+		return
+	}
+	list := t.byName[s.Service]
+	ejected := 0
+	for _, o := range list {
+		if o != s && now.Before(o.EjectedUntil) {
+			ejected++
+		}
+	}
+	if (ejected+1)*2 > len(list) {
+		return
+	}
+	pause := min(ejectMost, ejectBase<<min(s.ejections, 5))
+	s.ejections++
+	s.failures = 0
+	s.EjectedUntil = now.Add(pause)
+}
+
+// SetReport takes in what an upstream says of itself.
+func (t *Table) SetReport(name core.UpstreamName, load float64, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[name]; s != nil {
+		s.Reported = load
+		s.Leaving = leaving
+	}
+}
+
+// SetLeaving notes that an upstream announced with an answer that it drains.
+func (t *Table) SetLeaving(name core.UpstreamName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[name]; s != nil {
+		s.Leaving = true
+	}
+}
+
+// SetListed takes in which upstreams the platform's list shows as leaving.
+func (t *Table) SetListed(leaving map[core.UpstreamName]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, s := range t.states {
+		s.Listed = leaving[n]
+	}
+}
+
+// Held is the work of an upstream that this host no longer owns.
+type Held struct {
+	Upstream core.UpstreamName `cbor:"1,keyasint"`
+	InFlight int               `cbor:"2,keyasint"`
+}
+
+// Held returns the work at upstreams that this host gave away.
+func (t *Table) Held() []Held {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var held []Held
+	for n, s := range t.states {
+		if !s.owned && s.InFlight > 0 {
+			held = append(held, Held{Upstream: n, InFlight: s.InFlight})
+		}
+	}
+	return held
+}
+
+// SetElsewhere takes in the work of other hosts at owned upstreams.
+func (t *Table) SetElsewhere(held map[core.UpstreamName]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, s := range t.states {
+		s.Elsewhere = held[n]
+	}
+}
+
+// Summary is what a host can take in for a service.
+type Summary struct {
+	Free     int
+	Total    int
+	InFlight int
+	// Expected is the service time of the best free upstream.
+	Expected time.Duration
+	// Mean is the mean service time over all usable upstreams.
+	Mean time.Duration
+}
+
+// Summarize returns the summary for a service.
+func (t *Table) Summarize(service core.ServiceName, now time.Time) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var summary Summary
+	var sum time.Duration
+	usable := 0
+	for _, s := range t.byName[service] {
+		t.ramp(s, now)
+		summary.InFlight += s.InFlight
+		if !s.isUsable(now) {
+			continue
+		}
+		usable++
+		sum += s.Mean
+		summary.Total += s.Slots
+		summary.Free += s.Free()
+		if s.Free() > 0 && (summary.Expected == 0 || s.Mean < summary.Expected) {
+			summary.Expected = s.Mean
+		}
+	}
+	summary.Mean = sum / time.Duration(max(1, usable))
+	return summary
+}
+
+// States returns a copy of all owned upstreams, by name.
+func (t *Table) States() []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	states := make([]State, 0, len(t.states))
+	for _, s := range t.states {
+		if s.owned {
+			states = append(states, *s)
+		}
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Name, b.Name) })
+	return states
+}
+
+// InFlight returns the number of requests at upstreams, given away ones too.
+func (t *Table) InFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, s := range t.states {
+		total += s.InFlight
+	}
+	return total
+}
--- /dev/null
+++ b/core/deduplicator/deduplicator.go
@@ -0,0 +1,199 @@
+// Package deduplicator keeps a request with an idempotency key from running
+// more than once.
+//
+// A table belongs to one life of a host and is complete for that life: an id
+// that it has never seen has not been run. Begin admits an id once. Query
+// answers for an id and, where it has never been seen, writes a tombstone
+// first, so that a message still on its way cannot run it afterwards.
+//
+// # Usage
+//
+//	switch entry := table.Begin(id, fingerprint, expiry, now); entry.Verdict {
+//	case deduplicator.Run:
+//		table.Finish(id, run(), now)
+//	case deduplicator.Replay:
+//		return entry.Outcome
+//	}
+//
+// Lock order: Table.mu is a leaf.
+package deduplicator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// Verdict is what may be done with an id.
+type Verdict uint8
+
+// The verdicts of Begin and Query.
+const (
+	// Run permits the caller, and no other, to run the id.
+	Run Verdict = iota
+	// Wait says that the id is being run; Entry.Done closes at its end.
+	Wait
+	// Replay says that the id has ended; Entry.Outcome tells how.
+	Replay
+	// Buried says that the id was declared not run and must not run now.
+	Buried
+	// Reused says that the id was used with another request.
+	Reused
+	// Full says that the table has no room; nothing was run.
+	Full
+)
+
+// Entry is the answer to Begin and Query.
+type Entry struct {
+	Verdict Verdict
+	Outcome core.Outcome
+	// Done is closed when a running id ends.
+	Done <-chan struct{}
+}
+
+// record is the state of one id.
+type record struct {
+	fingerprint uint64
+	verdict     Verdict
+	outcome     core.Outcome
+	done        chan struct{}
+	expiry      time.Time
+	size        core.Bytes
+}
+
+// Table remembers ids until they expire.
+type Table struct {
+	// MaxEntries bounds the number of ids.
+	MaxEntries int
+	// MaxBytes bounds the kept answers; the oldest lose their body first.
+	MaxBytes core.Bytes
+
+	mu      sync.Mutex
+	records map[string]*record
+	kept    []string
+	bytes   core.Bytes
+}
+
+// Begin asks to run an id that must be remembered until expiry.
+func (t *Table) Begin(id string, fingerprint uint64, expiry, now time.Time) Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[id]
+	if known == nil {
+		if len(t.records) >= t.MaxEntries && t.expire(now) == 0 {
+			return Entry{Verdict: Full}
+		}
+		t.put(id, &record{fingerprint: fingerprint, verdict: Wait, done: make(chan struct{}), expiry: expiry})
+		return Entry{Verdict: Run}
+	}
+	if known.verdict != Buried && known.fingerprint != fingerprint {
+		return Entry{Verdict: Reused}
+	}
+	return known.entry()
+}
+
+// Query tells what is known of an id. An unknown id is buried until expiry.
+func (t *Table) Query(id string, expiry time.Time) Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[id]
+	if known == nil {
+		t.put(id, &record{verdict: Buried, expiry: expiry})
+		return Entry{Verdict: Buried}
+	}
+	return known.entry()
+}
+
+// Finish ends a running id. An id that was not run may begin again, unless
+// bury is set.
+func (t *Table) Finish(id string, outcome core.Outcome, bury bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[id]
+	if known == nil || known.verdict != Wait {
+		return
+	}
+	close(known.done)
+	known.outcome = outcome
+	switch {
+	case outcome.State != core.NotRun:
+		known.verdict = Replay
+		t.keep(id, known)
+	case bury:
+		known.verdict = Buried
+	default:
+		delete(t.records, id)
+	}
+}
+
+// keep counts a kept answer and drops the oldest bodies beyond the bound.
+func (t *Table) keep(id string, r *record) {
+	if r.outcome.Answer != nil {
+		r.size = core.Bytes(len(r.outcome.Answer.Body))
+	}
+	t.bytes += r.size
+	t.kept = append(t.kept, id)
+	for t.bytes > t.MaxBytes && len(t.kept) > 0 {
+		oldest := t.records[t.kept[0]]
+		t.kept = t.kept[1:]
+		if oldest == nil || oldest.size == 0 {
+			continue
+		}
+		t.bytes -= oldest.size
+		oldest.size = 0
+		oldest.outcome = core.Unknown(core.RefusalUnknown, "the request was run; its answer is no longer kept")
+	}
+}
+
+// Expire forgets ids past their expiry and returns how many.
+func (t *Table) Expire(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.expire(now)
+}
+
+func (t *Table) expire(now time.Time) int {
+	count := 0
+	for id, r := range t.records {
+		if r.verdict == Wait || now.Before(r.expiry) {
+			continue
+		}
+		t.bytes -= r.size
+		delete(t.records, id)
+		count++
+	}
+	if count > 0 {
+		t.compact()
+	}
+	return count
+}
+
+// compact drops kept ids whose records are gone.
+func (t *Table) compact() {
+	kept := t.kept[:0]
+	for _, id := range t.kept {
+		if t.records[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	t.kept = kept
+}
+
+// Len returns the number of remembered ids.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+func (t *Table) put(id string, r *record) {
+	if t.records == nil {
+		t.records = map[string]*record{}
+	}
+	t.records[id] = r
+}
+
+func (r *record) entry() Entry {
+	return Entry{Verdict: r.verdict, Outcome: r.outcome, Done: r.done}
+}
--- /dev/null
+++ b/core/error.go
@@ -0,0 +1,20 @@
+package core
+
+import "github.com/joomcode/errorx"
+
+// Errors is the namespace of the system's typed errors.
+var Errors = errorx.NewNamespace("endiverun")
+
+// The typed errors of the domain.
+var (
+	// ErrKey reports a malformed idempotency key.
+	ErrKey = Errors.NewType("key")
+	// ErrPlatform reports that the platform's store gave no usable answer.
+	ErrPlatform = Errors.NewType("platform")
+	// ErrConflict reports that a conditional write lost against another.
+	ErrConflict = Errors.NewType("conflict")
+	// ErrNotFound reports that an object is absent.
+	ErrNotFound = Errors.NewType("not-found", errorx.NotFound())
+	// ErrPeer reports that another host gave no usable answer.
+	ErrPeer = Errors.NewType("peer")
+)
--- /dev/null
+++ b/core/host.go
@@ -0,0 +1,45 @@
+package core
+
+import "strconv"
+
+// HostName names an entry host.
+type HostName string
+
+// Incarnation tells one life of a host from the next under the same name.
+type Incarnation uint64
+
+// String returns the incarnation in base 36.
+func (i Incarnation) String() string {
+	return strconv.FormatUint(uint64(i), 36)
+}
+
+// ParseIncarnation is the inverse of Incarnation.String.
+func ParseIncarnation(s string) (Incarnation, error) {
+	value, err := strconv.ParseUint(s, 36, 64)
+	if err != nil {
+		return 0, ErrKey.New("incarnation %q is not a base 36 number", s)
+	}
+	return Incarnation(value), nil
+}
+
+// Host is one entry host as its peers and clients know it.
+type Host struct {
+	Name        HostName    `json:"name"`
+	Incarnation Incarnation `json:"incarnation"`
+	Zone        Zone        `json:"zone"`
+	// ClientAddress is the IP address and TCP port for clients.
+	ClientAddress string `json:"client-address"`
+	// PeerAddress is the IP address and UDP port for other hosts.
+	PeerAddress string `json:"peer-address"`
+}
+
+// Life identifies one life of a host.
+type Life struct {
+	Host        HostName
+	Incarnation Incarnation
+}
+
+// Life returns the host's name with its incarnation.
+func (h Host) Life() Life {
+	return Life{Host: h.Name, Incarnation: h.Incarnation}
+}
--- /dev/null
+++ b/core/refusal.go
@@ -0,0 +1,85 @@
+package core
+
+import "time"
+
+// RefusalKind is the stable name of a reason for not answering.
+type RefusalKind string
+
+// The refusal kinds. docs/API.md describes each for clients.
+const (
+	RefusalOverload       RefusalKind = "overload"
+	RefusalNoUpstream     RefusalKind = "no-upstream"
+	RefusalDeadline       RefusalKind = "deadline"
+	RefusalUnknownService RefusalKind = "unknown-service"
+	RefusalBadRequest     RefusalKind = "bad-request"
+	RefusalBodyTooLarge   RefusalKind = "body-too-large"
+	RefusalKeyRequired    RefusalKind = "key-required"
+	RefusalKeyInvalid     RefusalKind = "key-invalid"
+	RefusalKeyExpired     RefusalKind = "key-expired"
+	RefusalKeyReused      RefusalKind = "key-reused"
+	RefusalStaleHome      RefusalKind = "stale-home"
+	RefusalLinkLimit      RefusalKind = "link-limit"
+	RefusalStopping       RefusalKind = "stopping"
+	RefusalNotReady       RefusalKind = "not-ready"
+	RefusalPlatform       RefusalKind = "platform-unavailable"
+	RefusalTableFull      RefusalKind = "table-full"
+	RefusalUpstream       RefusalKind = "upstream-failed"
+	RefusalUnknown        RefusalKind = "outcome-unknown"
+)
+
+// Refusal is a typed answer in place of the one the client wanted.
+type Refusal struct {
+	Kind RefusalKind `cbor:"1,keyasint"`
+	// Detail is for people. It names no upstream.
+	Detail string `cbor:"2,keyasint"`
+	// Retry is how long to wait before another try; 0 means at once.
+	Retry time.Duration `cbor:"3,keyasint"`
+}
+
+// Refuse returns the outcome of a request that was certainly not run.
+func Refuse(kind RefusalKind, detail string, retry time.Duration) Outcome {
+	return Outcome{State: NotRun, Refusal: &Refusal{Kind: kind, Detail: detail, Retry: retry}}
+}
+
+// Unknown returns the outcome of a request that may have been run.
+func Unknown(kind RefusalKind, detail string) Outcome {
+	return Outcome{State: RunUnknown, Refusal: &Refusal{Kind: kind, Detail: detail}}
+}
+
+// Status returns the HTTP status for a refusal in the given state.
+func (r Refusal) Status(state RunState) int {
+	const (
+		badRequest      = 400
+		notFound        = 404
+		conflict        = 409
+		tooLarge        = 413
+		unprocessable   = 422
+		tooManyRequests = 429
+		badGateway      = 502
+		unavailable     = 503
+		gatewayTimeout  = 504
+	)
+	switch r.Kind {
+	case RefusalBadRequest, RefusalKeyInvalid, RefusalKeyRequired:
+		return badRequest
+	case RefusalUnknownService:
+		return notFound
+	case RefusalStaleHome, RefusalKeyExpired:
+		return conflict
+	case RefusalKeyReused:
+		return unprocessable
+	case RefusalBodyTooLarge:
+		return tooLarge
+	case RefusalOverload:
+		return tooManyRequests
+	case RefusalDeadline:
+		return gatewayTimeout
+	case RefusalUpstream, RefusalUnknown:
+		return badGateway
+	default:
+	}
+	if state == RunUnknown {
+		return badGateway
+	}
+	return unavailable
+}
--- /dev/null
+++ b/core/unit.go
@@ -0,0 +1,49 @@
+package core
+
+import "time"
+
+// Bytes is an amount of data in bytes.
+type Bytes int64
+
+// BitsPerSecond is a data rate in bits a second.
+type BitsPerSecond int64
+
+// Units of data and rate.
+const (
+	Kibibyte Bytes         = 1 << 10
+	Mebibyte Bytes         = 1 << 20
+	Megabit  BitsPerSecond = 1_000_000
+	Gigabit  BitsPerSecond = 1_000_000_000
+)
+
+// bitsPerByte converts between data and rate units.
+const bitsPerByte = 8
+
+// PerSecond returns the rate in bytes a second.
+func (b BitsPerSecond) PerSecond() float64 {
+	return float64(b) / bitsPerByte
+}
+
+// Milliseconds is a duration in milliseconds, as own formats write it.
+type Milliseconds int64
+
+// Duration returns m as a time.Duration.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// MillisecondsOf returns d in whole milliseconds, rounded down.
+func MillisecondsOf(d time.Duration) Milliseconds {
+	return Milliseconds(d / time.Millisecond)
+}
+
+// Weight is a relative share; 0 counts as 1.
+type Weight float64
+
+// OrOne returns w, or 1 where w is not positive.
+func (w Weight) OrOne() float64 {
+	if w <= 0 {
+		return 1
+	}
+	return float64(w)
+}
--- /dev/null
+++ b/entry/logger/logger.go
@@ -0,0 +1,89 @@
+// Package logger writes the numbered events of an entry host.
+//
+// Each event has a number that never changes meaning; docs/EVENTS.md is the
+// catalogue. Searching for the number finds an event whatever its words.
+//
+// # Usage
+//
+//	log := logger.New(os.Stderr, "info", host)
+//	log.Event(logger.TicketApplied).Uint64("ticket", 7).Send()
+package logger
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Name   string
+	Level  zerolog.Level
+	// Meaning is the line of the catalogue.
+	Meaning string
+}
+
+// The events.
+var (
+	HostStarted = Event{100, "host-started", zerolog.InfoLevel, "The host listens for clients and peers."}
+	HostReady   = Event{101, "host-ready", zerolog.InfoLevel, "The host has a configuration and takes requests."}
+	HostLeaving = Event{102, "host-leaving", zerolog.InfoLevel, "A planned stop began; roles are given up."}
+	HostStopped = Event{103, "host-stopped", zerolog.InfoLevel, "The planned stop ended."}
+	HostCutOff  = Event{104, "host-stop-timeout", zerolog.WarnLevel, "The planned stop took too long; requests were cut."}
+
+	TicketApplied    = Event{200, "ticket-applied", zerolog.InfoLevel, "A ticket is in force on this host."}
+	TicketAccepted   = Event{201, "ticket-accepted", zerolog.InfoLevel, "The platform's store accepted a ticket sent to this host."}
+	TicketConflict   = Event{202, "ticket-conflict", zerolog.WarnLevel, "A ticket lost against another with the same number."}
+	TicketUnreadable = Event{203, "ticket-unreadable", zerolog.ErrorLevel, "A stored ticket cannot be read; later ones wait."}
+	SnapshotWritten  = Event{204, "snapshot-written", zerolog.InfoLevel, "A snapshot of the configuration was stored."}
+
+	PlatformLost  = Event{300, "platform-lost", zerolog.WarnLevel, "The platform's store gives no usable answers."}
+	PlatformFound = Event{301, "platform-found", zerolog.InfoLevel, "The platform's store answers again."}
+	SlotTaken     = Event{302, "slot-taken", zerolog.InfoLevel, "The host holds a slot of its region's links."}
+	SlotLost      = Event{303, "slot-lost", zerolog.WarnLevel, "The host may not send to other regions."}
+
+	PeerSilent   = Event{400, "peer-silent", zerolog.WarnLevel, "A connection to another host was replaced after silence."}
+	PeerRejected = Event{401, "peer-rejected", zerolog.WarnLevel, "Another host sent what cannot be read."}
+	PeerExpired  = Event{402, "peer-expired", zerolog.WarnLevel, "No news of another host for the expiry time."}
+	PeerFound    = Event{403, "peer-found", zerolog.InfoLevel, "Another host is live."}
+
+	UpstreamLeaving = Event{500, "upstream-leaving", zerolog.InfoLevel, "An owned upstream gets no new work."}
+	UpstreamBroken  = Event{501, "upstream-answer-rejected", zerolog.WarnLevel, "An answer was unusable; its connection is closed."}
+	RequestUnknown  = Event{502, "request-outcome-unknown", zerolog.WarnLevel, "A request ended without proof of whether it ran."}
+)
+
+// Events lists all events in the order of the catalogue.
+var Events = []Event{
+	HostStarted, HostReady, HostLeaving, HostStopped, HostCutOff,
+	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
+	PlatformLost, PlatformFound, SlotTaken, SlotLost,
+	PeerSilent, PeerRejected, PeerExpired, PeerFound,
+	UpstreamLeaving, UpstreamBroken, RequestUnknown,
+}
+
+// Logger writes events of one host.
+type Logger struct {
+	base zerolog.Logger
+}
+
+// New returns a logger that writes JSON lines of the given level and above.
+func New(w io.Writer, level string, host core.Host) *Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	base := zerolog.New(w).Level(parsed).With().
+		Timestamp().
+		Str("host", string(host.Name)).
+		Str("incarnation", host.Incarnation.String()).
+		Logger()
+	return &Logger{base: base}
+}
+
+// Event begins a line of the given kind. The caller ends it with Send.
+func (l *Logger) Event(event Event) *zerolog.Event {
+	return l.base.WithLevel(event.Level).Int("event", event.Number).Str("name", event.Name)
+}
