Move the store protocols of tickets, slots and claims into core

Cause: the protocols that decide races and lost answers stood in the daemon, where the stateful tests cannot drive them. Change: core.Store is the port; sequencer.Archive, limiter.Keeper and deduplicator.Claimer hold the protocols; keys carry the minting second of their home's own clock, so clocks of hosts may differ.

--- a/core/error.go
+++ b/core/error.go
@@ -18,3 +18,12 @@
 	// ErrPeer reports that another host gave no usable answer.
 	ErrPeer = Errors.NewType("peer")
 )
+
+// IsNotFound reports whether an object is absent.
+func IsNotFound(err error) bool { return errorx.IsOfType(err, ErrNotFound) }
+
+// IsConflict reports whether a conditional write lost against another.
+func IsConflict(err error) bool { return errorx.IsOfType(err, ErrConflict) }
+
+// IsPlatform reports whether the store gave no usable answer.
+func IsPlatform(err error) bool { return errorx.IsOfType(err, ErrPlatform) }
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -131,6 +131,18 @@
 	l.apply(s, now)
 }
 
+// LowerLease reduces the additional rate and leaves its expiry.
+func (l *Links) LowerLease(to core.RegionName, lease core.BitsPerSecond, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shares[to]
+	if s == nil {
+		return
+	}
+	s.lease = min(s.lease, lease)
+	l.apply(s, now)
+}
+
 // apply sets the rate of a share to what is held at the given time.
 func (l *Links) apply(s *share, now time.Time) {
 	if !now.Before(s.expiry) {
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -29,6 +29,8 @@
 	// Incarnation goes into home-bound keys, in base 36.
 	Incarnation string        `json:"incarnation"`
 	Zone        core.ZoneName `json:"zone"`
+	// Second is the minting second for keys bound to the host, by its clock.
+	Second int64 `json:"key-second"`
 }
 
 // Route is the answer to a client.
@@ -40,8 +42,6 @@
 	Lifetime core.Milliseconds `json:"lifetime-ms"`
 	// WhenStale tells what to do when no fresh answer can be had.
 	WhenStale string `json:"when-stale"`
-	// Second is the minting second for home-bound keys made now.
-	Second int64 `json:"key-second"`
 	// Ticket is the number of the configuration behind the answer.
 	Ticket core.Number `json:"ticket"`
 }
@@ -55,6 +55,8 @@
 	Host core.Host
 	// Room tells whether the host or its zone has free slots.
 	Room bool
+	// Second is the host's own clock, in Unix seconds.
+	Second int64
 }
 
 // Query is a client's question.
@@ -101,7 +103,6 @@
 		Hosts:     spread(l, query.Spread),
 		Lifetime:  core.MillisecondsOf(r.Lifetime),
 		WhenStale: UseInOrder,
-		Second:    now.Unix(),
 		Ticket:    ticket,
 	}
 }
@@ -144,6 +145,7 @@
 			Address:     c.Host.ClientAddress,
 			Incarnation: c.Host.Incarnation.String(),
 			Zone:        c.Host.Zone.Name,
+			Second:      c.Second,
 		})
 		if rank(c, zone) == rank(ordered[0], zone) {
 			l.near = i + 1
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -251,6 +251,7 @@
 	s.sequence++
 	record := tracker.Record{Host: s.Self, Phase: s.phase, Sequence: s.sequence}
 	s.mu.Unlock()
+	record.Second = now.Unix()
 	record.Ticket = s.Sequencer.Number()
 	record.Spares = s.Spares(now)
 	record.Held = s.Balancer.Held()
@@ -287,11 +288,11 @@
 	live := s.Tracker.Live(now)
 	candidates := make([]router.Candidate, 0, len(live)+1)
 	if s.Phase() == core.PhaseLive {
-		candidates = append(candidates, router.Candidate{Host: s.Self, Room: true})
+		candidates = append(candidates, router.Candidate{Host: s.Self, Second: now.Unix()})
 	}
 	for _, m := range live {
 		if m.Phase == core.PhaseLive {
-			candidates = append(candidates, router.Candidate{Host: m.Host, Room: true})
+			candidates = append(candidates, router.Candidate{Host: m.Host, Second: m.Clock(now)})
 		}
 	}
 	return markRoom(candidates, service, s.Spares(now), s.Self, live)
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -46,6 +46,8 @@
 	Spares   []Spare     `cbor:"5,keyasint"`
 	// Held is the work at upstreams that the host gave away.
 	Held []balancer.Held `cbor:"6,keyasint,omitempty"`
+	// Second is the host's own clock, in Unix seconds.
+	Second int64 `cbor:"7,keyasint"`
 }
 
 // Member is a record and when its news arrived.
@@ -54,6 +56,11 @@
 	Heard time.Time
 }
 
+// Clock returns the member's own clock, in Unix seconds, at the given time.
+func (m Member) Clock(now time.Time) int64 {
+	return m.Second + int64(now.Sub(m.Heard)/time.Second)
+}
+
 // Tracker holds the newest record of every known host but its own.
 type Tracker struct {
 	Self core.Host
--- a/demo/archiver/archiver.go
+++ b/demo/archiver/archiver.go
@@ -45,7 +45,7 @@
 	watching atomic.Int64
 
 	mu      sync.Mutex
-	version storer.Version
+	version core.Version
 	objects map[string]storer.Object
 	events  []storer.Event
 	changed chan struct{}
@@ -200,7 +200,7 @@
 
 // watch streams events of a kind until its time is over.
 func (a *Archiver) watch(c *fasthttp.RequestCtx, kind string) {
-	after := storer.Version(c.QueryArgs().GetUintOrZero("resourceVersion"))
+	after := core.Version(c.QueryArgs().GetUintOrZero("resourceVersion"))
 	end := time.Now().Add(time.Duration(c.QueryArgs().GetUintOrZero("timeoutSeconds")) * time.Second)
 	a.watching.Add(1)
 	c.SetContentType("application/json")
@@ -210,7 +210,7 @@
 	})
 }
 
-func (a *Archiver) stream(w *bufio.Writer, kind string, after storer.Version, end time.Time) {
+func (a *Archiver) stream(w *bufio.Writer, kind string, after core.Version, end time.Time) {
 	encoder := json.NewEncoder(w)
 	for {
 		events, changed := a.since(kind, after)
@@ -240,7 +240,7 @@
 
 // since returns the events of a kind after a version, and what closes at the
 // next one.
-func (a *Archiver) since(kind string, after storer.Version) ([]storer.Event, <-chan struct{}) {
+func (a *Archiver) since(kind string, after core.Version) ([]storer.Event, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var events []storer.Event
--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -198,7 +198,7 @@
 
 // route returns the targets for a call, spreading calls over the hosts of the
 // client's own availability zone.
-func (c *Client) route(service core.ServiceName) (router.Route, []router.Target) {
+func (c *Client) route(service core.ServiceName) []router.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cached := c.routes[service].route
@@ -214,7 +214,7 @@
 			targets[i] = cached.Hosts[(i+shift)%near]
 		}
 	}
-	return cached, targets
+	return targets
 }
 
 // Do sends a request until it has an outcome.
@@ -252,12 +252,12 @@
 func (e *exchange) run() Result {
 	last := Result{Verdict: Refused, Kind: "no-host"}
 	for e.sends < maxSends {
-		route, targets := e.client.route(e.call.Service.Name)
+		targets := e.client.route(e.call.Service.Name)
 		if len(targets) == 0 || time.Now().After(e.deadline) {
 			return last
 		}
 		target := targets[e.sends%len(targets)]
-		e.prepareKey(route, target)
+		e.prepareKey(target)
 		r := e.send(target)
 		e.sends++
 		result, again := e.judge(r)
@@ -270,14 +270,14 @@
 }
 
 // prepareKey makes a home-bound key where there is none.
-func (e *exchange) prepareKey(route router.Route, target router.Target) {
+func (e *exchange) prepareKey(target router.Target) {
 	if e.call.Service.Repeatable || e.key != "" {
 		return
 	}
 	incarnation, _ := core.ParseIncarnation(target.Incarnation)
 	life := core.Life{Host: target.Name, Incarnation: incarnation}
 	nonce := e.call.Nonce + "-" + strconv.Itoa(e.sends)
-	e.key = core.NewHomeKey(life, nonce, time.Unix(route.Second, 0)).Text
+	e.key = core.NewHomeKey(life, nonce, time.Unix(target.Second, 0)).Text
 	e.home = target.Address
 	e.ordinal = 0
 }
--- a/demo/runner/ticket.go
+++ b/demo/runner/ticket.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
-	"github.com/endiverun/endiverun/entry/server"
+	"github.com/endiverun/endiverun/core/sequencer"
 	"github.com/endiverun/endiverun/entry/storer"
 )
 
@@ -32,7 +32,7 @@
 	defer client.Close()
 	data := map[string]any{"ticket": ticket, "nonce": "demo"}
 	for {
-		_, err := client.Create("ticket", server.TicketName(ticket.Number), data)
+		_, err := client.Create("ticket", sequencer.ObjectName(ticket.Number), data)
 		if err == nil || time.Now().After(deadline) {
 			return err
 		}
--- a/entry/server/claim.go
+++ b/entry/server/claim.go
@@ -1,29 +1,19 @@
 package server
 
 import (
-	"encoding/json"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/deduplicator"
 	"github.com/endiverun/endiverun/core/dispatcher"
-	"github.com/endiverun/endiverun/entry/storer"
 )
 
-// kindClaims is the kind of the objects that hold claims of clients' keys.
-const kindClaims = "claims"
-
-// claimTries is how often a lost race for a bucket is repeated.
-const claimTries = 8
-
-// claimer claims clients' own keys in the platform's store. Keys of the same
-// bucket that arrive while a write is under way share the next one.
+// claimer groups claims of clients' own keys: keys of the same bucket that
+// arrive while a write is under way share the next one.
 type claimer struct {
-	server *Server
+	claimer deduplicator.Claimer
+	now     func() time.Time
 
 	mu      sync.Mutex
 	pending map[int]*batch
@@ -38,15 +28,19 @@
 	done    chan struct{}
 }
 
-func newClaimer(server *Server) *claimer {
-	return &claimer{server: server, pending: map[int]*batch{}, busy: map[int]bool{}}
+func newClaimer(life core.Life, store core.Store, now func() time.Time) *claimer {
+	return &claimer{
+		claimer: deduplicator.Claimer{Life: life, Store: store},
+		now:     now,
+		pending: map[int]*batch{},
+		busy:    map[int]bool{},
+	}
 }
 
 // claim claims a key and tells who holds it.
 func (c *claimer) claim(key string, until time.Time) dispatcher.Claim {
-	bucket := deduplicator.Bucket(key)
-	b := c.join(bucket, key)
-	waitFor(b.done, until.Sub(c.server.now()))
+	b := c.join(deduplicator.Bucket(key), key)
+	waitFor(b.done, until.Sub(c.now()))
 	select {
 	case <-b.done:
 	default:
@@ -85,52 +79,7 @@
 			return
 		}
 		c.mu.Unlock()
-		b.holders, b.err = c.write(bucket, b.keys)
+		b.holders, b.err = c.claimer.Claim(bucket, b.keys, c.now())
 		close(b.done)
 	}
 }
-
-// write claims keys by conditional update. A write without an answer is
-// settled by the next read, which shows whose the claims are.
-func (c *claimer) write(bucket int, keys []string) (map[string]core.Life, error) {
-	s := c.server
-	var err error
-	for range claimTries {
-		var object storer.Object
-		var table deduplicator.ClaimTable
-		object, table, err = c.read(bucket)
-		if err != nil {
-			continue
-		}
-		holders := table.Holders(keys)
-		if len(holders) == len(keys) {
-			return holders, nil
-		}
-		next, holders := table.Add(keys, s.host.Life(), s.now())
-		if object.Metadata.ResourceVersion == 0 {
-			_, err = s.storer.Create(object.Kind, object.Metadata.Name, next)
-		} else {
-			_, err = s.storer.Update(object, next)
-		}
-		if err == nil {
-			return holders, nil
-		}
-	}
-	return nil, err
-}
-
-func (c *claimer) read(bucket int) (storer.Object, deduplicator.ClaimTable, error) {
-	name := strconv.Itoa(bucket)
-	object, err := c.server.storer.Get(kindClaims, name)
-	if err != nil && errorx.IsOfType(err, core.ErrNotFound) {
-		return storer.Object{Kind: kindClaims, Metadata: storer.Metadata{Name: name}}, deduplicator.ClaimTable{}, nil
-	}
-	if err != nil {
-		return storer.Object{}, deduplicator.ClaimTable{}, err
-	}
-	var table deduplicator.ClaimTable
-	if err := json.Unmarshal(object.Data, &table); err != nil {
-		return storer.Object{}, deduplicator.ClaimTable{}, core.ErrPlatform.Wrap(err, "claims")
-	}
-	return object, table, nil
-}
--- a/entry/server/duty.go
+++ b/entry/server/duty.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/endiverun/endiverun/core"
@@ -190,7 +189,7 @@
 // observePlatform logs when the platform stops or starts to answer. It is
 // called by one duty only.
 func (s *Server) observePlatform(err error) {
-	lost := err != nil && errorx.IsOfType(err, core.ErrPlatform)
+	lost := core.IsPlatform(err)
 	if lost == s.platform.lost {
 		return
 	}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -23,6 +23,8 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/balancer"
+	"github.com/endiverun/endiverun/core/limiter"
+	"github.com/endiverun/endiverun/core/sequencer"
 	"github.com/endiverun/endiverun/core/steerer"
 	"github.com/endiverun/endiverun/core/tracker"
 	"github.com/endiverun/endiverun/entry/caller"
@@ -73,6 +75,8 @@
 	counters  *counter.Set
 	tracer    *tracer.Tracer
 	claims    *claimer
+	archive   sequencer.Archive
+	keeper    *limiter.Keeper
 	platform  platformState
 	peerCalls atomic.Int64
 	sequence  atomic.Uint64
@@ -159,7 +163,9 @@
 		Count:   func(call string) { s.counters.Platform.Add(call, 1) },
 	}
 	s.storer.Init()
-	s.claims = newClaimer(s)
+	s.claims = newClaimer(s.host.Life(), s.storer.Port(), s.now)
+	s.archive = sequencer.Archive{Store: s.storer.Port(), Wait: func() { time.Sleep(settlePause) }}
+	s.keeper = s.newKeeper()
 	s.buildListener()
 	s.counters.Add("waiting", expvar.Func(func() any { return s.waiting() }))
 	return nil
@@ -235,7 +241,7 @@
 	if !s.awaitIdle(limit) {
 		s.log.Event(logger.HostCutOff).Int("in-flight", s.steerer.Balancer.InFlight()).Send()
 	}
-	s.releaseSlot()
+	_ = s.keeper.Release()
 }
 
 // awaitIdle waits until no request is open, at most until the limit.
--- a/entry/server/ticket.go
+++ b/entry/server/ticket.go
@@ -2,27 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"strconv"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/assigner"
+	"github.com/endiverun/endiverun/core/sequencer"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/messenger"
 	"github.com/endiverun/endiverun/entry/storer"
 )
 
-// Kinds and names of tickets in the platform's store.
-const (
-	kindTicket   = "ticket"
-	kindSnapshot = "snapshot"
-	nameSnapshot = "newest"
-)
-
 // Times and counts of keeping up with tickets.
 const (
 	watchWait       = 10 * time.Second
@@ -31,23 +21,9 @@
 	readInterval    = 5 * time.Second
 	fetchTimeout    = 2 * time.Second
 	snapshotEvery   = 32
-	// settleTries is how often a write without an answer is read back.
-	settleTries = 10
-	settlePause = 200 * time.Millisecond
+	settlePause     = 200 * time.Millisecond
 )
 
-// storedTicket is a ticket in the platform's store. The nonce tells the writer
-// whether a write without an answer was its own.
-type storedTicket struct {
-	Ticket core.Ticket `json:"ticket"`
-	Nonce  string      `json:"nonce"`
-}
-
-// TicketName returns the name of the object for a ticket.
-func TicketName(number core.Number) string {
-	return fmt.Sprintf("%020d", uint64(number))
-}
-
 // Applied is the answer to an accepted ticket.
 type Applied struct {
 	Number core.Number `json:"number"`
@@ -65,7 +41,7 @@
 		s.readTickets()
 	}
 	configuration := s.steerer.Sequencer.Configuration()
-	if err := checkNext(configuration, ticket); err != nil {
+	if err := sequencer.CheckNext(configuration, ticket); err != nil {
 		return nil, err
 	}
 	if checkOnly {
@@ -79,67 +55,17 @@
 	return Applied{Number: ticket.Number}, nil
 }
 
-// checkNext checks a ticket against the configuration that it changes.
-func checkNext(configuration *core.Configuration, ticket core.Ticket) error {
-	next := configuration.Number + 1
-	if ticket.Number < next {
-		return core.ErrConflict.New("ticket %d is in force already; the next is %d", ticket.Number, next)
-	}
-	var findings core.Findings
-	if ticket.Number > next {
-		findings.Addf("/number", "%d does not follow %d", ticket.Number, configuration.Number)
-	}
-	findings = append(findings, configuration.Apply(ticket).Check()...)
-	return findings.Err()
-}
-
-// accept creates the ticket's object. A write without an answer is settled by
-// reading back.
+// accept has the platform's store accept a ticket.
 func (s *Server) accept(ticket core.Ticket) error {
 	nonce := s.host.Incarnation.String() + "." + strconv.FormatUint(s.sequence.Add(1), 36) + "." + string(s.host.Name)
-	stored := storedTicket{Ticket: ticket, Nonce: nonce}
-	name := TicketName(ticket.Number)
-	var err error
-	for range settleTries {
-		_, err = s.storer.Create(kindTicket, name, stored)
-		if err == nil {
-			return nil
-		}
-		if errorx.IsOfType(err, core.ErrConflict) {
-			return s.compare(name, nonce)
-		}
-		time.Sleep(settlePause)
-	}
-	return err
-}
-
-// compare tells whose ticket stands under a name.
-func (s *Server) compare(name, nonce string) error {
-	var err error
-	for range settleTries {
-		var object storer.Object
-		object, err = s.storer.Get(kindTicket, name)
-		if err == nil {
-			return s.judge(object, nonce)
-		}
-		time.Sleep(settlePause)
+	winner, err := s.archive.Accept(ticket, nonce)
+	if core.IsConflict(err) {
+		s.offer(winner)
+		s.log.Event(logger.TicketConflict).Uint64("ticket", uint64(winner.Number)).Str("winner", winner.Author).Send()
 	}
 	return err
 }
 
-func (s *Server) judge(object storer.Object, nonce string) error {
-	var winner storedTicket
-	if err := json.Unmarshal(object.Data, &winner); err != nil {
-		return core.ErrPlatform.Wrap(err, "ticket %s", object.Metadata.Name)
-	}
-	if winner.Nonce == nonce {
-		return nil
-	}
-	s.offer(winner.Ticket)
-	s.log.Event(logger.TicketConflict).Uint64("ticket", uint64(winner.Ticket.Number)).Str("winner", winner.Ticket.Author).Send()
-	return core.ErrConflict.New("ticket %d was taken by %s: %s", winner.Ticket.Number, winner.Ticket.Author, winner.Ticket.Reason)
-}
-
 // offer gives an accepted ticket to the decisions.
 func (s *Server) offer(ticket core.Ticket) {
 	now := s.now()
@@ -176,45 +102,32 @@
 
 // readTickets reads from the platform's store what follows the configuration
 // in force. It returns the newest version read, from which a watch can go on.
-func (s *Server) readTickets() storer.Version {
+func (s *Server) readTickets() core.Version {
 	if s.steerer.Sequencer.Number() == 0 {
-		s.readSnapshot()
+		if snapshot, err := s.archive.ReadSnapshot(); err == nil {
+			s.restore(snapshot)
+		}
 	}
-	var version storer.Version
+	var version core.Version
 	for {
 		next := s.steerer.Sequencer.Number() + 1
-		object, err := s.storer.Get(kindTicket, TicketName(next))
+		ticket, read, err := s.archive.Read(next)
 		if err != nil {
 			return version
 		}
-		version = max(version, object.Metadata.ResourceVersion)
-		if !s.take(object) || s.steerer.Sequencer.Number() < next {
-			return version
-		}
+		version = max(version, read)
+		s.offer(ticket)
 	}
 }
 
-func (s *Server) readSnapshot() {
-	object, err := s.storer.Get(kindSnapshot, nameSnapshot)
+// take offers a stored ticket that a watch reported.
+func (s *Server) take(object core.Object) {
+	stored, err := sequencer.DecodeStored(object)
 	if err != nil {
+		s.log.Event(logger.TicketUnreadable).Str("object", object.Name).Err(err).Send()
 		return
 	}
-	var snapshot core.Ticket
-	if json.Unmarshal(object.Data, &snapshot) == nil {
-		s.restore(snapshot)
-	}
-}
-
-// take offers a stored ticket and reports whether it could be read.
-func (s *Server) take(object storer.Object) bool {
-	var stored storedTicket
-	err := json.Unmarshal(object.Data, &stored)
-	if err != nil || TicketName(stored.Ticket.Number) != object.Metadata.Name {
-		s.log.Event(logger.TicketUnreadable).Str("name", object.Metadata.Name).Err(err).Send()
-		return false
-	}
 	s.offer(stored.Ticket)
-	return true
 }
 
 // watchTickets follows new tickets: the relay of an availability zone watches
@@ -238,10 +151,10 @@
 }
 
 // watchOnce waits for new tickets and returns the version reached.
-func (s *Server) watchOnce(after storer.Version) storer.Version {
-	_ = s.storer.Watch(kindTicket, after, watchWait, func(event storer.Event) bool {
+func (s *Server) watchOnce(after core.Version) core.Version {
+	_ = s.storer.Watch(sequencer.KindTicket, after, watchWait, func(event storer.Event) bool {
 		after = max(after, event.Object.Metadata.ResourceVersion)
-		s.take(event.Object)
+		s.take(event.Object.Core())
 		return s.steerer.Sequencer.Number() != 0
 	})
 	return after
@@ -264,28 +177,12 @@
 	if number == 0 || number%snapshotEvery != 0 || !s.isSnapshotWriter() {
 		return
 	}
-	snapshot := s.steerer.Sequencer.Configuration().Whole("snapshot")
-	object, err := s.storer.Get(kindSnapshot, nameSnapshot)
-	switch {
-	case err == nil && isSnapshotOf(object, number):
-		return
-	case err == nil:
-		_, err = s.storer.Update(object, snapshot)
-	case errorx.IsOfType(err, core.ErrNotFound):
-		_, err = s.storer.Create(kindSnapshot, nameSnapshot, snapshot)
-	default:
-	}
-	if err == nil {
+	written, err := s.archive.WriteSnapshot(s.steerer.Sequencer.Configuration().Whole("snapshot"))
+	if err == nil && written {
 		s.log.Event(logger.SnapshotWritten).Uint64("ticket", uint64(number)).Send()
 	}
 }
 
-// isSnapshotOf reports whether a stored snapshot is as new as the number.
-func isSnapshotOf(object storer.Object, number core.Number) bool {
-	var stored core.Ticket
-	return json.Unmarshal(object.Data, &stored) == nil && stored.Number >= number
-}
-
 func (s *Server) isSnapshotWriter() bool {
 	hosts := []core.HostName{s.host.Name}
 	for _, m := range s.steerer.Tracker.Live(s.now()) {
@@ -335,16 +232,9 @@
 // showTicket reads a ticket from the store, or from memory while the store
 // does not answer.
 func (s *Server) showTicket(number core.Number) (any, error) {
-	object, err := s.storer.Get(kindTicket, TicketName(number))
-	if err == nil {
-		var stored storedTicket
-		if err := json.Unmarshal(object.Data, &stored); err != nil {
-			return nil, core.ErrPlatform.Wrap(err, "ticket %d", number)
-		}
-		return stored.Ticket, nil
-	}
-	if errorx.IsOfType(err, core.ErrNotFound) {
-		return nil, err
+	ticket, _, err := s.archive.Read(number)
+	if err == nil || core.IsNotFound(err) {
+		return ticket, err
 	}
 	kept, ok := s.steerer.Sequencer.Since(number)
 	if ok && len(kept) > 0 {
--- a/entry/storer/storer.go
+++ b/entry/storer/storer.go
@@ -34,13 +34,10 @@
 // maxObject is the largest object, as the platform limits it.
 const maxObject = core.Mebibyte
 
-// Version is the resource version of an object.
-type Version uint64
-
 // Metadata identifies an object and its version.
 type Metadata struct {
-	Name            string  `json:"name"`
-	ResourceVersion Version `json:"resourceVersion,string"`
+	Name            string       `json:"name"`
+	ResourceVersion core.Version `json:"resourceVersion,string"`
 }
 
 // Object is one object of the platform's store.
@@ -223,9 +220,33 @@
 	return object, nil
 }
 
+// Port returns the store as the decisions use it.
+func (s *Storer) Port() core.Store {
+	return core.Store{
+		Get: func(kind, name string) (core.Object, error) {
+			object, err := s.Get(kind, name)
+			return object.Core(), err
+		},
+		Create: func(kind, name string, data json.RawMessage) error {
+			_, err := s.Create(kind, name, data)
+			return err
+		},
+		Update: func(object core.Object, data json.RawMessage) error {
+			metadata := Metadata{Name: object.Name, ResourceVersion: object.Version}
+			_, err := s.Update(Object{Kind: object.Kind, Metadata: metadata}, data)
+			return err
+		},
+	}
+}
+
+// Core returns the object as the decisions use it.
+func (o Object) Core() core.Object {
+	return core.Object{Kind: o.Kind, Name: o.Metadata.Name, Version: o.Metadata.ResourceVersion, Data: o.Data}
+}
+
 // Watch reports changes of a kind after the given version until the platform
 // ends the stream, Close is called or handle returns false.
-func (s *Storer) Watch(kind string, after Version, wait time.Duration, handle func(Event) bool) error {
+func (s *Storer) Watch(kind string, after core.Version, wait time.Duration, handle func(Event) bool) error {
 	s.count("watch")
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
