--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -38,6 +38,9 @@
 	ejectMost = 30 * time.Second
 	// smoothing is the weight of a new service time in the running mean.
 	smoothing = 0.2
+	// checkedWithin is how recently an upstream must have been asked for its
+	// report.
+	checkedWithin = 2 * time.Second
 	// staleAfter is how long a service time is believed without a new one.
 	staleAfter = 5 * time.Second
 )
@@ -60,6 +63,9 @@
 	Listed bool
 	// Elsewhere is the number of requests of earlier owners that still run.
 	Elsewhere int
+	// Checked is when the upstream was last asked for its report, whether or
+	// not it answered.
+	Checked time.Time
 	// EjectedUntil is in the past for an upstream in good standing.
 	EjectedUntil time.Time
 
@@ -189,9 +195,11 @@
 // maxCandidates is the number of candidates held without an allocation.
 const maxCandidates = 32
 
-// isUsable reports whether an upstream may get new work.
+// isUsable reports whether an upstream may get new work. One that was not asked
+// for its report recently may be leaving without this host's knowledge: it is
+// new to this host, or the host was paused.
 func (s *State) isUsable(now time.Time) bool {
-	return !s.Leaving && !s.Listed && !s.Draining && !now.Before(s.EjectedUntil)
+	return now.Sub(s.Checked) <= checkedWithin && !s.Leaving && !s.Listed && !s.Draining && !now.Before(s.EjectedUntil)
 }
 
 // ramp grows a limited upstream by one slot a step.
@@ -271,12 +279,23 @@
 }
 
 // SetReport takes in what an upstream says of itself.
-func (t *Table) SetReport(name core.UpstreamName, load float64, leaving bool) {
+func (t *Table) SetReport(name core.UpstreamName, load float64, leaving bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.states[name]; s != nil {
 		s.Reported = load
 		s.Leaving = leaving
+		s.Checked = now
+	}
+}
+
+// SetUnreported notes that an upstream gave no report. It may still be used:
+// outcomes of requests decide.
+func (t *Table) SetUnreported(name core.UpstreamName, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[name]; s != nil {
+		s.Checked = now
 	}
 }
 
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -12,7 +12,7 @@
 //	links := &limiter.Links{Region: "nl-south"}
 //	links.Configure(configuration.Links, now)
 //	links.SetSlot(true, now)
-//	wait, ok := links.Reserve("de-west", 16*core.Kibibyte, now)
+//	reservation := links.Reserve("de-west", 16*core.Kibibyte, now)
 //
 // Lock order: Links.mu and Budget.mu are leaves.
 package limiter
@@ -39,6 +39,10 @@
 	minBurst = int(ChunkSize)
 )
 
+// maxAhead is how far ahead bytes are granted. A lease that lapses meanwhile
+// is respected by others for longer than this.
+const maxAhead = 250 * time.Millisecond
+
 // ChunkSize is the largest amount that is charged at once.
 const ChunkSize = 16 * core.Kibibyte
 
@@ -170,29 +174,41 @@
 	return core.BitsPerSecond(float64(link.Cap) * PlannedShare * (1 - FixedShare))
 }
 
+// Reservation is the answer to Reserve.
+type Reservation struct {
+	// Wait is how long to wait.
+	Wait time.Duration
+	// Granted says that the bytes may be sent after Wait; otherwise the caller
+	// asks again then.
+	Granted bool
+	// Forbidden says that the host may not send there at all.
+	Forbidden bool
+}
+
 // Reserve takes n bytes, at most ChunkSize, of the share towards a region. It
-// returns how long to wait before sending, or false where the host may not
-// send there.
-func (l *Links) Reserve(to core.RegionName, n core.Bytes, now time.Time) (time.Duration, bool) {
+// grants nothing further ahead than maxAhead, because the rate may lapse.
+func (l *Links) Reserve(to core.RegionName, n core.Bytes, now time.Time) Reservation {
 	if to == l.Region || to == "" {
-		return 0, true
+		return Reservation{Granted: true}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.shares[to]
 	if s == nil {
-		return 0, false
+		return Reservation{Forbidden: true}
 	}
-	s.demand += n
 	l.lapse(s, now)
 	if l.rateOf(s) <= 0 {
-		return 0, false
+		return Reservation{Forbidden: true}
 	}
 	reservation := s.limiter.ReserveN(now, int(min(n, ChunkSize)))
-	if !reservation.OK() {
-		return 0, false
+	wait := reservation.DelayFrom(now)
+	if wait > maxAhead {
+		reservation.CancelAt(now)
+		return Reservation{Wait: maxAhead}
 	}
-	return reservation.DelayFrom(now), true
+	s.demand += n
+	return Reservation{Wait: wait, Granted: true}
 }
 
 // CanSend reports whether a message of n bytes towards a region would start to
--- a/entry/server/duty.go
+++ b/entry/server/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -97,11 +98,14 @@
 	s.seen = live
 }
 
-// pollHealth asks owned upstreams for their reports.
+// pollHealth asks owned upstreams for their reports, new ones at once.
 func (s *Server) pollHealth(ctx context.Context) {
 	leaving := map[core.UpstreamName]bool{}
-	every(ctx, healthInterval, func() {
+	every(ctx, tickInterval, func() {
 		states := s.steerer.Balancer.States()
+		states = slices.DeleteFunc(states, func(u balancer.State) bool {
+			return s.now().Sub(u.Checked) < healthInterval
+		})
 		results := make([]core.Phase, len(states))
 		workers := pool.New().WithMaxGoroutines(healthWorkers)
 		for i, u := range states {
@@ -118,14 +122,15 @@
 	})
 }
 
-// checkHealth takes in one report; a missing one changes nothing, since
-// outcomes of requests decide.
+// checkHealth asks for one report.
 func (s *Server) checkHealth(state balancer.State) core.Phase {
 	report, err := s.caller.Health(state.Upstream, healthTimeout, time.Now())
+	now := s.now()
 	if err != nil {
+		s.steerer.Balancer.SetUnreported(state.Name, now)
 		return ""
 	}
-	s.steerer.Balancer.SetReport(state.Name, report.Load, report.Phase == core.PhaseLeaving)
+	s.steerer.Balancer.SetReport(state.Name, report.Load, report.Phase == core.PhaseLeaving, now)
 	return report.Phase
 }
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -41,6 +41,9 @@
 // cached route answers.
 const stopGrace = 2500 * time.Millisecond
 
+// paceSlack is how late bytes may be sent after their share was taken.
+const paceSlack = time.Second
+
 // stopPoll is the time between two looks at what is left to finish.
 const stopPoll = 20 * time.Millisecond
 
@@ -262,15 +265,21 @@
 
 // pace waits until n bytes may be sent to another region.
 func (s *Server) pace(to core.RegionName, n core.Bytes) bool {
-	wait, ok := s.steerer.Links.Reserve(to, n, s.now())
-	if !ok {
-		return false
-	}
-	s.counters.Sent.Add(string(to), int64(n))
-	if wait > 0 {
-		time.Sleep(wait)
+	for {
+		reservation := s.steerer.Links.Reserve(to, n, s.now())
+		if reservation.Forbidden {
+			return false
+		}
+		due := s.now().Add(reservation.Wait)
+		if reservation.Wait > 0 {
+			time.Sleep(reservation.Wait)
+		}
+		// A process that was paused asks again, because its share may be gone.
+		if reservation.Granted && s.now().Sub(due) < paceSlack {
+			s.counters.Sent.Add(string(to), int64(n))
+			return true
+		}
 	}
-	return true
 }
 
 // every calls do at the interval until ctx ends.
