Keep refusals true after questions, cancellations and long pauses; faults for the demo

The last could also run a request twice. Change: a request whose attempt is being asked about ends as unknown; questions stop at the deadline; the table of attempts remembers up to which number it forgot; keys that are claimed are remembered as long as the claim. A queue counts as standing only while requests that wait are served late. The demo injects the twelve faults, and its client counts a lost send as unknown.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -126,6 +126,11 @@
 	}
 }
 
+// Serve notes that a request was served without waiting.
+func (q *Queue[T]) Serve() {
+	q.above = time.Time{}
+}
+
 // IsStanding reports whether the queue has been too long for a whole interval.
 func (q *Queue[T]) IsStanding(now time.Time) bool {
 	return !q.above.IsZero() && now.Sub(q.above) >= q.Interval
--- a/core/deduplicator/deduplicator.go
+++ b/core/deduplicator/deduplicator.go
@@ -19,6 +19,8 @@
 package deduplicator
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,11 +70,17 @@
 	MaxEntries int
 	// MaxBytes bounds the kept answers; the oldest lose their body first.
 	MaxBytes core.Bytes
+	// Numbered says that ids end in a dot and a base 36 number that grows with
+	// every id of the same sender. The table then remembers up to which number
+	// it has forgotten each sender's ids, and proves nothing about those.
+	Numbered bool
 
 	mu      sync.Mutex
 	records map[string]*record
 	kept    []string
 	bytes   core.Bytes
+	// forgotten is the highest expired number of each sender.
+	forgotten map[string]uint64
 }
 
 // Begin asks to run an id that must be remembered until expiry.
@@ -80,6 +88,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[id]
+	if known == nil && t.isForgotten(id) {
+		return Entry{Verdict: Buried}
+	}
 	if known == nil {
 		if len(t.records) >= t.MaxEntries && t.expire(now) == 0 {
 			return Entry{Verdict: Full}
@@ -93,11 +104,15 @@
 	return known.entry()
 }
 
-// Query tells what is known of an id. An unknown id is buried until expiry.
+// Query tells what is known of an id. An unknown id is buried until expiry. Of
+// an id that may have been forgotten nothing is known.
 func (t *Table) Query(id string, expiry time.Time) Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[id]
+	if known == nil && t.isForgotten(id) {
+		return Entry{Verdict: Replay, Outcome: core.Unknown(core.RefusalUnknown, "the attempt is too old to be known")}
+	}
 	if known == nil {
 		t.put(id, &record{verdict: Buried, expiry: expiry})
 		return Entry{Verdict: Buried}
@@ -161,6 +176,7 @@
 		}
 		t.bytes -= r.size
 		delete(t.records, id)
+		t.forget(id)
 		count++
 	}
 	if count > 0 {
@@ -169,6 +185,37 @@
 	return count
 }
 
+// forget notes that an id of a numbered table is no longer remembered.
+func (t *Table) forget(id string) {
+	sender, number, ok := t.parse(id)
+	if !ok {
+		return
+	}
+	if t.forgotten == nil {
+		t.forgotten = map[string]uint64{}
+	}
+	t.forgotten[sender] = max(t.forgotten[sender], number)
+}
+
+// isForgotten reports whether an id that is not in the table may have been.
+func (t *Table) isForgotten(id string) bool {
+	sender, number, ok := t.parse(id)
+	return ok && number <= t.forgotten[sender]
+}
+
+// parse splits the id of a numbered table.
+func (t *Table) parse(id string) (sender string, number uint64, ok bool) {
+	if !t.Numbered {
+		return "", 0, false
+	}
+	dot := strings.LastIndexByte(id, '.')
+	if dot < 0 {
+		return "", 0, false
+	}
+	number, err := strconv.ParseUint(id[dot+1:], 36, 64)
+	return id[:dot], number, err == nil
+}
+
 // compact drops kept ids whose records are gone.
 func (t *Table) compact() {
 	kept := t.kept[:0]
--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -241,7 +241,7 @@
 		return d.expect(Step{Kind: StepHome, Host: d.home, Attempt: d.shared.nextAttempt(), Until: d.request.Deadline}), true
 	}
 	key := d.request.Key
-	expiry := now.Add(KeyLife + keyMargin)
+	expiry := now.Add(deduplicator.ClaimLife + keyMargin)
 	if key.IsHomeBound() {
 		expiry = key.Minted.Add(KeyLife + keyMargin)
 	}
@@ -301,6 +301,7 @@
 	}
 	if q.Len() == 0 || d.attempts > 0 || !d.origin.mayForward() {
 		if g, ok := r.choose(d, now); ok {
+			q.Serve()
 			d.granted = g
 			return d.start()
 		}
@@ -344,7 +345,7 @@
 
 // unserved returns the outcome of a request that gets no further attempt.
 func (d *Dispatch) unserved(kind core.RefusalKind, detail string, retry time.Duration) core.Outcome {
-	if d.mayHaveRun {
+	if d.mayHaveRun || d.stage == stageAsk {
 		return core.Unknown(kind, detail+"; an earlier attempt may have been run")
 	}
 	return core.Refuse(kind, detail, retry)
@@ -439,6 +440,7 @@
 		d.attempts++
 	}
 	d.conclude(result.Outcome, result.Attempted)
+	d.shared.Pump(d.request.Service, now)
 }
 
 // observeSilence decides after a handing over, or a question about it, that
@@ -462,6 +464,10 @@
 
 // ask returns the step that asks the host that had the request.
 func (d *Dispatch) ask(now time.Time) Step {
+	if !now.Before(d.request.Deadline) {
+		d.finish(core.Unknown(core.RefusalUnknown, "the host that had the request gave no answer in time"))
+		return Step{Kind: StepDone, Outcome: d.outcome}
+	}
 	if now.Before(d.askAt) {
 		return Step{Kind: StepWait, Until: d.askAt}
 	}
--- a/core/simulator/flow_test.go
+++ b/core/simulator/flow_test.go
@@ -270,7 +270,7 @@
 }
 
 // sendOrder sends an order once more, to the given host.
-func (w *world) sendOrder(o *order, to *node, key core.Key, ordinal int, size int) {
+func (w *world) sendOrder(o *order, to *node, key core.Key, ordinal, size int) {
 	w.requests++
 	request := core.Request{
 		ID:      core.RequestID("r" + strconv.Itoa(len(w.sends))),
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -336,13 +336,16 @@
 			t.Fatalf("order %d ran %d times", i, o.runs)
 		}
 		if o.isRefused() && o.runs > 0 {
-			t.Fatalf("order %d ran although every send was said not to have run", i)
+			t.Fatalf("order %d ran although every send was said not to have run: %+v", i, *o.sends[0].outcome.Refusal)
 		}
 	}
 	for i, s := range w.sends {
 		if s.ended && s.outcome.State == core.NotRun && s.runs > 0 {
 			t.Fatalf("send %d ran although it was said not to have run: %+v", i, *s.outcome.Refusal)
 		}
+		if s.ended && s.outcome.Refusal != nil && s.outcome.Refusal.Kind == core.RefusalStopping {
+			t.Fatalf("send %d was refused because its host stops", i)
+		}
 		if s.ended && s.outcome.State == core.Answered && !s.order.owns(s.outcome.Answer) {
 			t.Fatalf("send %d got the answer to %s", i, s.outcome.Answer.Body)
 		}
@@ -477,4 +480,3 @@
 		}
 	}
 }
-
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -90,7 +90,7 @@
 	s.Links = &limiter.Links{Region: s.Self.Zone.Region}
 	s.Budget = &limiter.Budget{Fraction: retryFraction, Burst: retryBurst}
 	s.Keys = &deduplicator.Table{MaxEntries: maxKeys, MaxBytes: maxKeptBytes}
-	s.Attempts = &deduplicator.Table{MaxEntries: maxKeys, MaxBytes: maxKeptBytes}
+	s.Attempts = &deduplicator.Table{MaxEntries: maxKeys, MaxBytes: maxKeptBytes, Numbered: true}
 	s.Dispatcher = &dispatcher.Dispatcher{
 		Self:          s.Self,
 		Phase:         s.Phase,
--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -36,9 +36,11 @@
 	routeTimeout   = 800 * time.Millisecond
 	maxIdle        = 900 * time.Millisecond
 	maxConnections = 4096
-	// attemptTimeout is how long a client waits for a host before it repeats
-	// what may be repeated.
-	attemptTimeout = 2 * time.Second
+	// patienceFactor times the usual time, and patienceLeast, is how long a
+	// client waits for a host before it sends again, which is safe under a key
+	// and for what may be repeated.
+	patienceFactor = 8
+	patienceLeast  = 400 * time.Millisecond
 	// maxSends bounds how often one request is sent.
 	maxSends = 6
 )
@@ -289,7 +291,11 @@
 		if e.ordinal == 0 {
 			e.key = ""
 		}
-		return Result{Verdict: e.unserved(), Kind: "unreachable"}, true
+		verdict := e.unserved()
+		if e.ordinal > 0 {
+			verdict = Unknown
+		}
+		return Result{Verdict: verdict, Kind: "unreachable"}, true
 	case r.lost:
 		e.ordinal++
 		e.cut = true
@@ -301,9 +307,11 @@
 	}
 }
 
-// unserved returns the verdict of a request that got no answer at all.
+// unserved returns the verdict after a send that was not run. The home of a key
+// answers for all sends of it; without a key an earlier send that was lost may
+// have been run.
 func (e *exchange) unserved() Verdict {
-	if e.ordinal > 0 {
+	if e.cut && e.call.Service.Repeatable {
 		return Unknown
 	}
 	return Refused
@@ -316,7 +324,7 @@
 		if isStale {
 			e.key = ""
 		}
-		return Result{Verdict: Refused, Kind: kind}, isStale
+		return Result{Verdict: e.unserved(), Kind: kind}, isStale
 	}
 	return Result{Verdict: Unknown, Kind: kind}, e.call.Service.Repeatable
 }
@@ -330,7 +338,7 @@
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	e.fill(request, target)
-	limit := min(time.Until(e.deadline), attemptTimeout)
+	limit := min(time.Until(e.deadline), e.patience(delay))
 	err := c.host(target.Address).DoTimeout(request, response, limit)
 	if err != nil {
 		c.forget(target.Address)
@@ -347,6 +355,11 @@
 	return e.read(response)
 }
 
+// patience returns how long to wait for one send.
+func (e *exchange) patience(delay time.Duration) time.Duration {
+	return max(patienceLeast, patienceFactor*(e.call.Service.Mean+2*delay))
+}
+
 func (e *exchange) fill(request *fasthttp.Request, target router.Target) {
 	request.SetRequestURI("http://" + target.Address + "/s/" + string(e.call.Service.Name) + "/work?nonce=" + e.call.Nonce)
 	request.Header.Set(responder.HeaderNonce, e.call.Nonce)
--- a/demo/reporter/reporter.go
+++ b/demo/reporter/reporter.go
@@ -210,15 +210,16 @@
 	return c.cut
 }
 
-// Progress returns the number of requests and of answers so far.
-func (c *Collector) Progress() (requests, answered int) {
+// Progress returns the number of requests and of answers so far, and the causes
+// of the rest.
+func (c *Collector) Progress() (requests, answered int, causes string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.services {
 		requests += s.requests
 		answered += s.answered
 	}
-	return requests, answered
+	return requests, answered, counts(c.refusals)
 }
 
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
--- a/demo/runner/drive.go
+++ b/demo/runner/drive.go
@@ -50,8 +50,9 @@
 
 // drive puts the load on, injects the fault and waits for the end.
 func (r *Runner) drive(ctx context.Context) error {
-	load, stop := context.WithTimeout(ctx, r.For)
+	load, stop := context.WithCancel(ctx)
 	defer stop()
+	begun := time.Now()
 	var requests sync.WaitGroup
 	var duties sync.WaitGroup
 	start := func(group *sync.WaitGroup, do func()) {
@@ -74,13 +75,11 @@
 	start(&duties, func() { r.reportProgress(load) })
 	start(&duties, func() { r.changeTicket(load) })
 	err := r.inject(load)
-	<-load.Done()
+	sleepUntil(ctx, begun.Add(r.For))
+	stop()
 	duties.Wait()
 	requests.Wait()
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return ctx.Err()
-	}
-	return err
+	return errors.Join(ctx.Err(), err)
 }
 
 // refresh keeps a client's routes fresh.
@@ -220,8 +219,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			requests, answered := r.collector.Progress()
-			fmt.Fprintf(r.Progress, "%4.0f s: %d requests ended, %d answered\n", time.Since(start).Seconds(), requests, answered)
+			requests, answered, causes := r.collector.Progress()
+			fmt.Fprintf(r.Progress, "%4.0f s: %d requests ended, %d answered %s\n",
+				time.Since(start).Seconds(), requests, answered, causes)
 		}
 	}
 }
--- a/demo/runner/fault.go
+++ b/demo/runner/fault.go
@@ -20,7 +20,20 @@
 }
 
 // faults lists all faults but FaultNone.
-var faults []fault
+var faults = []fault{
+	{"host-crash", hostCrash},
+	{"host-pause", hostPause},
+	{"zone-cut", zoneCut},
+	{"platform-down", platformDown},
+	{"platform-slow", platformSlow},
+	{"platform-lost-answers", platformLostAnswers},
+	{"region-loss", regionLoss},
+	{"silent-connections", silentConnections},
+	{"crossed-answers", crossedAnswers},
+	{"upstream-drain", upstreamDrain},
+	{"rolling-restart", rollingRestart},
+	{"ticket-race", ticketRace},
+}
 
 // FaultNames returns the names of all faults.
 func FaultNames() []string {
--- a/demo/runner/report.go
+++ b/demo/runner/report.go
@@ -109,7 +109,7 @@
 	if r.ticket > ticketLimit {
 		report.Broken[reporter.PromiseTicket]++
 	}
-	report.Broken[reporter.PromiseTicket] += r.reverted
+	report.Broken[reporter.PromiseTicket] += r.reverted + r.raceBroken
 	report.Preventable = report.Requests - report.Answered - r.expected
 	report.Notes = append(report.Notes, r.notes...)
 	return report
@@ -152,6 +152,9 @@
 		}
 	}
 	report.Broken[reporter.PromiseAtMostOnce] = r.ledger.Repeated(once)
+	if r.Fault == "rolling-restart" {
+		report.Broken[reporter.PromisePlannedStop] += r.collector.Cut()
+	}
 	report.Broken[reporter.PromiseUpstreamDrain] = r.ledger.AfterDrain()
 	report.Broken[reporter.PromiseOwnAnswer] += r.ledger.Damaged()
 	foreign, local := r.ledger.Overloads()
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -75,7 +75,9 @@
 	ticket   time.Duration
 	inForce  map[core.HostName]core.Number
 	reverted int
-	expected int
+	// raceBroken counts races of tickets without exactly one winner.
+	raceBroken int
+	expected   int
 }
 
 // upstream is a stand-in with its description.
@@ -91,7 +93,9 @@
 	sockets *emulator.Host
 	stop    context.CancelFunc
 	done    chan error
-	crashed bool
+	// crashed and stopping are guarded by Runner.mu.
+	crashed  bool
+	stopping bool
 }
 
 // Run runs the experiment and reports.
@@ -166,7 +170,7 @@
 }
 
 func (r *Runner) startUpstream(u core.Upstream, s deployer.ServiceSpec, seed uint64) {
-	ctx, stop := context.WithCancel(r.background) //nolint:gosec // The upstream keeps stop.
+	ctx, stop := context.WithCancel(r.background)
 	one := &upstream{Responder: r.newResponder(u, s, seed), spec: u, stop: stop}
 	r.upstreams = append(r.upstreams, one)
 	r.group.Go(func() { r.fail(one.Run(ctx)) })
--- a/demo/runner/ticket.go
+++ b/demo/runner/ticket.go
@@ -44,7 +44,7 @@
 func (r *Runner) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if r.countInForce(1, nil) == len(r.hosts) {
+		if r.isInForce(1, r.hosts) {
 			return nil
 		}
 		for _, h := range r.hosts {
@@ -56,7 +56,7 @@
 		}
 		time.Sleep(readyPoll)
 	}
-	return fmt.Errorf("%d of %d hosts are ready after %s", r.countInForce(1, nil), len(r.hosts), readyTimeout)
+	return fmt.Errorf("not all hosts are ready after %s", readyTimeout)
 }
 
 // noteTicket takes in that a ticket came in force on a host.
@@ -66,21 +66,19 @@
 	if number < r.inForce[name] {
 		r.reverted++
 	}
-	r.inForce[name] = max(r.inForce[name], number)
+	r.inForce[name] = number
 }
 
-// countInForce counts the hosts with at least the number in force, among those
-// for which isCounted holds; nil counts all.
-func (r *Runner) countInForce(number core.Number, isCounted func(*host) bool) int {
+// isInForce reports whether the number is in force on all given hosts.
+func (r *Runner) isInForce(number core.Number, hosts []*host) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := 0
-	for _, h := range r.hosts {
-		if (isCounted == nil || isCounted(h)) && r.inForce[h.Name] >= number {
-			count++
+	for _, h := range hosts {
+		if r.inForce[h.Name] < number {
+			return false
 		}
 	}
-	return count
+	return true
 }
 
 // changeTicket applies a ticket in the middle of the run and measures when it
@@ -89,36 +87,49 @@
 	if !sleepUntil(ctx, time.Now().Add(r.For/4)) {
 		return
 	}
-	ticket := core.Ticket{
-		Number:     2,
-		Author:     "demo",
-		Reason:     "the objectives are written again",
-		Objectives: &r.Deployment.Objectives,
-	}
-	if err := r.apply(ticket); err != nil {
-		r.note("ticket 2: " + err.Error())
+	ticket := core.Ticket{Author: "demo", Reason: "the objectives are written again", Objectives: &r.Deployment.Objectives}
+	number, err := r.applyNext(ticket)
+	if err != nil {
+		r.note("ticket: " + err.Error())
 		return
 	}
-	r.measureTicket(ctx, 2)
+	r.measureTicket(ctx, number)
+}
+
+// nextNumber returns the number that follows the newest ticket in force.
+func (r *Runner) nextNumber() core.Number {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := core.Number(0)
+	for _, n := range r.inForce {
+		newest = max(newest, n)
+	}
+	return newest + 1
 }
 
+// applyTries is how often a ticket that lost its number is applied again.
+const applyTries = 5
+
+// applyNext applies a ticket under the next free number.
+func (r *Runner) applyNext(ticket core.Ticket) (core.Number, error) {
+	var err error
+	for range applyTries {
+		ticket.Number = r.nextNumber()
+		if err = r.apply(ticket); err == nil {
+			return ticket.Number, nil
+		}
+		time.Sleep(ticketRetry)
+	}
+	return 0, err
+}
+
+// ticketRetry is the pause before a ticket is applied again.
+const ticketRetry = 300 * time.Millisecond
+
 // measureTicket waits until a ticket is in force on all hosts that run.
 func (r *Runner) measureTicket(ctx context.Context, number core.Number) {
 	accepted := time.Now()
-	isCounted := func(h *host) bool { return !h.crashed && !r.isCutOff(h) }
-	for ctx.Err() == nil {
-		wanted := 0
-		for _, h := range r.hosts {
-			if isCounted(h) {
-				wanted++
-			}
-		}
-		if r.countInForce(number, isCounted) >= wanted {
-			r.mu.Lock()
-			r.ticket = max(r.ticket, time.Since(accepted))
-			r.mu.Unlock()
-			return
-		}
+	for ctx.Err() == nil && !r.isInForce(number, r.running()) {
 		time.Sleep(ticketPoll)
 	}
 	r.mu.Lock()
@@ -144,10 +155,7 @@
 	if err != nil {
 		return err
 	}
-	for _, h := range r.hosts {
-		if h.crashed {
-			continue
-		}
+	for _, h := range r.running() {
 		err = post(h.ClientAddress, body)
 		if err == nil {
 			return nil
@@ -156,6 +164,19 @@
 	return err
 }
 
+// running returns the hosts that run and are not cut off.
+func (r *Runner) running() []*host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hosts []*host
+	for _, h := range r.hosts {
+		if !h.crashed && !h.stopping && !r.isCutOff(h) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 func post(address string, body []byte) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
