Survive the loss of a region and silent connections without refusals

Cause: after the loss of a region a seventh of the requests was refused for good. Clients of the lost region all chose the same hosts; a zone that was full for a moment sent its own clients to other regions; a request refused by four hosts blocked the queue behind it; hosts went on choosing peers that could not be reached. A send under an old key was called not run when its home could not be reached, though an earlier send may have been run. Change: targets carry a rank and clients spread over equal ones; room is smoothed and never outweighs distance; a request returns to the front of the queue; unreachable hosts get nothing until their next record; only a first send is declared not run when the home is not reached. Attempts at repeatable services have a patience of eight mean service times while the retry budget has a token, abandoned attempts keep their slot for a while, idle connections prove themselves before orders, and silent QUIC connections end after 1.2 s.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -59,6 +59,13 @@
 	return true
 }
 
+// Return puts an item back whose turn it had been, before those that wait for
+// theirs. since is when it began to wait.
+func (q *Queue[T]) Return(item T, since time.Time) {
+	q.sequence++
+	heap.Push(&q.heap, entry[T]{item: item, start: q.virtual, sequence: q.sequence, since: since})
+}
+
 // prune forgets organisations that hold no advance, so that made-up names
 // cannot grow the table.
 func (q *Queue[T]) prune() {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -41,6 +41,13 @@
 	// checkedWithin is how recently an upstream must have been asked for its
 	// report.
 	checkedWithin = 2 * time.Second
+	// abandonFactor times the mean service time is how long an attempt without
+	// an answer is believed to run on.
+	abandonFactor = 2
+	// patienceFactor times the mean service time is how long an answer is waited
+	// for where another attempt is safe.
+	patienceFactor = 8
+	patienceLeast  = 100 * time.Millisecond
 	// staleAfter is how long a service time is believed without a new one.
 	staleAfter = 5 * time.Second
 )
@@ -69,7 +76,9 @@
 	// EjectedUntil is in the past for an upstream in good standing.
 	EjectedUntil time.Time
 
-	owned     bool
+	owned bool
+	// abandoned holds until when attempts that got no answer may still run.
+	abandoned []time.Time
 	rampedAt  time.Time
 	failures  int
 	ejections int
@@ -78,7 +87,12 @@
 
 // Free returns the number of free slots.
 func (s *State) Free() int {
-	return max(0, s.Limit-s.InFlight-s.Elsewhere)
+	return max(0, s.Limit-s.InFlight-s.Elsewhere-len(s.abandoned))
+}
+
+// expire forgets abandoned attempts that have ended by now.
+func (s *State) expire(now time.Time) {
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(until time.Time) bool { return !now.Before(until) })
 }
 
 // Result is what became of an attempt.
@@ -88,6 +102,9 @@
 	Duration time.Duration
 	// Shed says that the upstream refused for lack of room.
 	Shed bool
+	// Stale says that a connection used before brought no answer, which is no
+	// evidence against the upstream.
+	Stale bool
 	// Cancelled says that the attempt ended for the caller's reasons.
 	Cancelled bool
 }
@@ -204,6 +221,7 @@
 
 // ramp grows a limited upstream by one slot a step.
 func (t *Table) ramp(s *State, now time.Time) {
+	s.expire(now)
 	if s.Limit >= s.Slots {
 		s.rampedAt = now
 		return
@@ -234,6 +252,8 @@
 func (t *Table) judge(s *State, result Result, now time.Time) {
 	switch {
 	case result.Cancelled:
+	case result.Stale:
+		s.abandon(now)
 	case result.Shed:
 		s.Limit = max(1, min(s.Limit, s.InFlight))
 		s.rampedAt = now
@@ -242,10 +262,31 @@
 		s.measure(result.Duration, now)
 	default:
 		s.failures++
+		if result.State == core.RunUnknown {
+			s.abandon(now)
+		}
 		t.eject(s, now)
 	}
 }
 
+// abandon keeps the slot of an attempt without an answer for as long as the
+// upstream may still run it.
+func (s *State) abandon(now time.Time) {
+	s.abandoned = append(s.abandoned, now.Add(abandonFactor*s.Mean))
+}
+
+// Patience returns how long to wait for an answer before another attempt may
+// be worth it; 0 means that nothing is known.
+func (t *Table) Patience(name core.UpstreamName) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[name]
+	if s == nil || s.Mean == 0 {
+		return 0
+	}
+	return max(patienceLeast, patienceFactor*s.Mean)
+}
+
 // measure takes in a service time.
 func (s *State) measure(d time.Duration, now time.Time) {
 	if s.Mean == 0 || now.Sub(s.Measured) > staleAfter {
--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -299,7 +299,7 @@
 		}
 		return d.wait(q.Target, now)
 	}
-	if q.Len() == 0 || d.attempts > 0 || !d.origin.mayForward() {
+	if q.Len() == 0 || d.attempts > 0 || d.forwards > 0 || !d.origin.mayForward() {
 		if g, ok := r.choose(d, now); ok {
 			q.Serve()
 			d.granted = g
@@ -319,11 +319,17 @@
 // the wait. The caller holds Dispatcher.mu.
 func (d *Dispatch) enqueue(q *admitter.Queue[*Dispatch], now time.Time) Step {
 	d.excluded, d.refused = nil, nil
+	d.isQueued = true
+	if !d.queuedAt.IsZero() {
+		q.Return(d, d.queuedAt)
+		return d.wait(q.Target, now)
+	}
+	d.queuedAt = now
 	weight := d.service.Organisations[d.request.Organisation]
 	if !q.Push(d, d.request.Organisation, weight, now) {
+		d.isQueued = false
 		return d.giveUp(core.RefusalOverload, "too many requests wait", now)
 	}
-	d.isQueued, d.queuedAt = true, now
 	return d.wait(q.Target, now)
 }
 
@@ -381,6 +387,9 @@
 	d.attempts++
 	d.attempted = true
 	step.Kind, step.Upstream = StepRun, g.upstream
+	if d.service.Repeatable && d.shared.Budget.HasToken() {
+		step.Patience = d.shared.Balancer.Patience(g.upstream.Name)
+	}
 	return d.expect(step)
 }
 
@@ -412,6 +421,7 @@
 		State:     result.Outcome.State,
 		Duration:  result.Duration,
 		Shed:      result.Shed,
+		Stale:     result.Stale,
 		Cancelled: result.Cancelled,
 	}, now)
 	d.excluded = append(d.excluded, d.last.Upstream.Name)
@@ -425,13 +435,17 @@
 		d.shared.Tracker.SetSpare(d.last.Host.Life(), result.Spares)
 		d.shared.dropView()
 	}
+	if result.Unreachable {
+		d.shared.Tracker.Suspect(d.last.Host.Life())
+		d.shared.dropView()
+	}
 	d.attempted = d.attempted || result.Attempted
 	if result.Outcome.State == core.RunUnknown && result.Outcome.Refusal == nil {
 		d.observeSilence(now)
 		return
 	}
 	if d.last.Kind == StepHome || d.askedHome {
-		d.finish(result.Outcome)
+		d.observeHome(result)
 		return
 	}
 	d.stage = stageSteer
@@ -443,6 +457,18 @@
 	d.shared.Pump(d.request.Service, now)
 }
 
+// observeHome takes in what the home of the key said. Only that life knows what
+// became of earlier sends; where it was not reached, or is replaced, only a
+// first send is known not to have run.
+func (d *Dispatch) observeHome(result Result) {
+	isAnother := result.Outcome.Refusal != nil && result.Outcome.Refusal.Kind == core.RefusalStaleHome
+	if result.Outcome.State == core.NotRun && (result.Unreachable || isAnother) {
+		d.neverRunIfFirst(core.RefusalStaleHome, "the key's home cannot be reached")
+		return
+	}
+	d.finish(result.Outcome)
+}
+
 // observeSilence decides after a handing over, or a question about it, that
 // brought no answer. Result.Outcome without a refusal stands for this.
 func (d *Dispatch) observeSilence(now time.Time) {
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -47,7 +47,7 @@
 	// maxAttempts is the most attempts at upstreams for one request.
 	maxAttempts = 3
 	// maxForwards is the most hosts that are asked to run one request.
-	maxForwards = 4
+	maxForwards = 16
 	// KeyLife is how long a home-bound key may be used after its minting.
 	KeyLife = 10 * time.Minute
 	// keyMargin is how much longer a key is remembered.
--- a/core/dispatcher/step.go
+++ b/core/dispatcher/step.go
@@ -47,6 +47,9 @@
 	Host     core.Host
 	Attempt  core.AttemptID
 	Until    time.Time
+	// Patience is how long to wait for an answer of the upstream; 0 means the
+	// progress timeout of the service.
+	Patience time.Duration
 	Done     <-chan struct{}
 	Outcome  core.Outcome
 }
@@ -60,8 +63,12 @@
 	Shed bool
 	// Attempted says that an upstream was sent the request.
 	Attempted bool
+	// Stale says that a connection used before brought no answer.
+	Stale bool
 	// Cancelled says that the client went away.
 	Cancelled bool
+	// Unreachable says that the other host showed no sign of being there.
+	Unreachable bool
 	// Spares is what a peer said of its room, with its life.
 	Spares []tracker.Spare
 	// Claim is the result of StepClaim.
--- a/core/limiter/budget.go
+++ b/core/limiter/budget.go
@@ -20,6 +20,13 @@
 	b.tokens = min(b.Burst, b.tokens+b.Fraction)
 }
 
+// HasToken reports whether an additional attempt is affordable.
+func (b *Budget) HasToken() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
 // Spend takes a token for an additional attempt and reports whether there was
 // one.
 func (b *Budget) Spend() bool {
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -3,7 +3,7 @@
 // Clients cache the answer, so a wrong one is safe and only slower: every
 // entry host takes every request. Hosts near the client come first; within a
 // place clients are spread by a hash of their address. Leaving hosts are left
-// out, and hosts without room go last.
+// out, and hosts without room go after others that are as near.
 //
 // # Usage
 //
@@ -26,6 +26,9 @@
 type Target struct {
 	Name    core.HostName `json:"name"`
 	Address string        `json:"address"`
+	// Rank is lower for better hosts; a client spreads its requests over those
+	// of equal rank.
+	Rank int `json:"rank"`
 	// Incarnation goes into home-bound keys, in base 36.
 	Incarnation string        `json:"incarnation"`
 	Zone        core.ZoneName `json:"zone"`
@@ -81,17 +84,16 @@
 }
 
 // maxTargets is the longest answer.
-const maxTargets = 8
+const maxTargets = 12
 
 type listKey struct {
 	service core.ServiceName
 	zone    core.ZoneName
 }
 
-// list is an ordered list of targets; the first near of them are equally good.
+// list is a list of targets by rank.
 type list struct {
 	targets []Target
-	near    int
 	built   time.Time
 }
 
@@ -139,27 +141,26 @@
 		)
 	})
 	l := &list{built: now}
-	for i, c := range ordered[:min(len(ordered), maxTargets)] {
+	for _, c := range ordered {
 		l.targets = append(l.targets, Target{
+			Rank:        rank(c, zone),
 			Name:        c.Host.Name,
 			Address:     c.Host.ClientAddress,
 			Incarnation: c.Host.Incarnation.String(),
 			Zone:        c.Host.Zone.Name,
 			Second:      c.Second,
 		})
-		if rank(c, zone) == rank(ordered[0], zone) {
-			l.near = i + 1
-		}
 	}
 	return l
 }
 
-// Ranks by distance; a host without room ranks after all with room.
+// Ranks by distance; a host without room ranks after those as near with room.
+// It stays before more distant ones, because it hands requests over itself.
 const (
-	rankZone = iota
-	rankRegion
-	rankFar
-	rankFull
+	rankZone   = 0
+	rankRegion = 2
+	rankFar    = 4
+	rankFull   = 1
 )
 
 func rank(c Candidate, zone core.Zone) int {
@@ -177,16 +178,21 @@
 	return base
 }
 
-// spread rotates the equally good targets by the client's hash.
+// spread rotates the targets of each rank by the client's hash and returns the
+// first of all.
 func spread(l *list, by uint64) []Target {
-	targets := make([]Target, len(l.targets))
-	copy(targets, l.targets)
-	if l.near < 2 {
-		return targets
-	}
-	shift := int(by % uint64(l.near))
-	for i := range l.near {
-		targets[i] = l.targets[(i+shift)%l.near]
+	targets := make([]Target, 0, maxTargets)
+	for start := 0; start < len(l.targets) && len(targets) < maxTargets; {
+		end := start + 1
+		for end < len(l.targets) && l.targets[end].Rank == l.targets[start].Rank {
+			end++
+		}
+		group := l.targets[start:end]
+		shift := int(by % uint64(len(group)))
+		for i := 0; i < len(group) && len(targets) < maxTargets; i++ {
+			targets = append(targets, group[(i+shift)%len(group)])
+		}
+		start = end
 	}
 	return targets
 }
--- a/core/simulator/flow_test.go
+++ b/core/simulator/flow_test.go
@@ -109,13 +109,31 @@
 func (w *world) dispatchMessage(f *flow, step dispatcher.Step) {
 	size := core.Bytes(len(f.request.Body))
 	if step.Kind != dispatcher.StepAsk && !w.spend(f.node, step.Host.Zone.Region, size) {
-		f.dispatch.Observe(dispatcher.Result{Outcome: core.Refuse(core.RefusalOverload, "link", 0)}, f.node.now())
-		w.proceed(f)
+		w.unreachable(f)
 		return
 	}
 	w.messages = append(w.messages, &message{from: f, step: step})
 }
 
+// unreachable tells a request that the other host cannot be reached.
+func (w *world) unreachable(f *flow) {
+	outcome := core.Refuse(core.RefusalOverload, "unreachable", 0)
+	if f.step.Kind == dispatcher.StepAsk {
+		outcome = core.Outcome{State: core.RunUnknown}
+	}
+	f.dispatch.Observe(dispatcher.Result{Outcome: outcome, Unreachable: true}, f.node.now())
+	w.proceed(f)
+}
+
+// lose lets a message never leave its host.
+func (w *world) lose(m *message) {
+	if m.child != nil || m.result != nil || m.gaveUp || !m.from.node.acts() {
+		return
+	}
+	m.done, m.gaveUp = true, true
+	w.unreachable(m.from)
+}
+
 // end tells the sender of a request what became of it.
 func (w *world) end(f *flow, outcome core.Outcome) {
 	f.ended = true
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -34,6 +34,7 @@
 			"deliver":        w.actDeliver,
 			"reply":          w.actReply,
 			"give-up":        w.actGiveUp,
+			"lose":           w.actLose,
 			"advance":        func(t *rapid.T) { w.random = t; w.advance(drawTime(t, 2000)) },
 			"advance-long":   func(t *rapid.T) { w.random = t; w.advance(drawTime(t, 20_000)) },
 			"jump":           w.actJump,
@@ -93,7 +94,8 @@
 func (w *world) drawKey(t *rapid.T, asked *node, o *order) core.Key {
 	nonce := strconv.Itoa(len(w.orders)) + "-" + strconv.Itoa(len(o.sends))
 	if rapid.IntRange(0, 3).Draw(t, "own-key") == 0 {
-		return core.Key{Text: "own-" + strconv.Itoa(len(w.orders))}
+		w.serial++
+		return core.Key{Text: "own-" + strconv.Itoa(w.serial)}
 	}
 	query := router.Query{Service: serviceOrder, Zone: asked.steerer.Self.Zone}
 	route := asked.steerer.Router.Route(query, 1, asked.now())
@@ -170,6 +172,8 @@
 func (w *world) actReply(t *rapid.T)   { w.reply(pick(t, w.open(), "message")) }
 func (w *world) actGiveUp(t *rapid.T)  { w.giveUp(pick(t, w.open(), "message")) }
 
+func (w *world) actLose(t *rapid.T) { w.lose(pick(t, w.open(), "message")) }
+
 // actJump lets minutes pass in which no host does anything.
 func (w *world) actJump(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 15).Draw(t, "minutes")) * time.Minute)
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -38,7 +38,7 @@
 	// Heartbeat is the time between two records of a host.
 	Heartbeat = 250 * time.Millisecond
 	// Expiry is how long a host counts as live without a new record.
-	Expiry = 2 * time.Second
+	Expiry = 2500 * time.Millisecond
 	// Forget is how long an expired host is still contacted.
 	Forget = 10 * time.Minute
 	// routeLifetime is how long clients may cache a route answer.
@@ -79,11 +79,13 @@
 	rounds       uint64
 	owned        []core.Upstream
 	confirmation limiter.Confirmation
+	rooms        map[zoneService]*room
 }
 
 // Init builds the tables. Call it once, before anything else.
 func (s *Steerer) Init(now time.Time) {
 	s.phase = core.PhaseStarting
+	s.rooms = map[zoneService]*room{}
 	s.Sequencer = sequencer.New()
 	s.Tracker = &tracker.Tracker{Self: s.Self, Expiry: Expiry, Forget: Forget}
 	s.Balancer = balancer.New(s.Policy)
@@ -295,13 +297,32 @@
 			candidates = append(candidates, router.Candidate{Host: m.Host, Second: m.Clock(now)})
 		}
 	}
-	return markRoom(candidates, service, s.Spares(now), s.Self, live)
+	s.markRoom(candidates, service, live, now)
+	return candidates
+}
+
+// zoneService is a service in an availability zone.
+type zoneService struct {
+	zone    core.ZoneName
+	service core.ServiceName
+}
+
+// room is the smoothed free part of a service's slots in a zone.
+type room struct {
+	free    float64
+	at      time.Time
+	hasRoom bool
 }
 
+// Hysteresis of room keeps routes from following every small change of load.
+const (
+	roomTime  = 3 * time.Second
+	roomLost  = 0.02
+	roomFound = 0.10
+)
+
 // markRoom tells which hosts are in an availability zone with free slots.
-func markRoom(candidates []router.Candidate, service core.ServiceName, own []tracker.Spare, self core.Host,
-	live []tracker.Member,
-) []router.Candidate {
+func (s *Steerer) markRoom(candidates []router.Candidate, service core.ServiceName, live []tracker.Member, now time.Time) {
 	free := map[core.ZoneName]int{}
 	total := map[core.ZoneName]int{}
 	add := func(zone core.ZoneName, spares []tracker.Spare) {
@@ -312,13 +333,36 @@
 			}
 		}
 	}
-	add(self.Zone.Name, own)
+	add(s.Self.Zone.Name, s.Spares(now))
 	for _, m := range live {
 		add(m.Host.Zone.Name, m.Spares)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for z, n := range total {
+		s.smooth(zoneService{zone: z, service: service}, float64(free[z])/float64(n), now)
+	}
 	for i, c := range candidates {
-		zone := c.Host.Zone.Name
-		candidates[i].Room = total[zone] == 0 || free[zone] > 0
+		r := s.rooms[zoneService{zone: c.Host.Zone.Name, service: service}]
+		candidates[i].Room = r == nil || r.hasRoom
+	}
+}
+
+// smooth takes in the free part of a zone's slots. The caller holds mu.
+func (s *Steerer) smooth(key zoneService, free float64, now time.Time) {
+	r := s.rooms[key]
+	if r == nil {
+		r = &room{free: free, hasRoom: true}
+		s.rooms[key] = r
+	}
+	part := min(1, now.Sub(r.at).Seconds()/roomTime.Seconds())
+	r.free += part * (free - r.free)
+	r.at = now
+	switch {
+	case r.free < roomLost:
+		r.hasRoom = false
+	case r.free > roomFound:
+		r.hasRoom = true
+	default:
 	}
-	return candidates
 }
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -125,6 +125,17 @@
 	known.Spares = updated
 }
 
+// Suspect notes that a host could not be reached: nothing is sent to it until
+// its next record.
+func (t *Tracker) Suspect(life core.Life) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.members[life.Host]
+	if known != nil && known.Host.Incarnation == life.Incarnation {
+		known.Spares = nil
+	}
+}
+
 // TakeSpare lowers the known free slots of a host by one, so that a burst is
 // not sent to one host between two of its records.
 func (t *Tracker) TakeSpare(host core.HostName, service core.ServiceName) {
--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -198,23 +198,24 @@
 	return route, nil
 }
 
-// route returns the targets for a call, spreading calls over the hosts of the
-// client's own availability zone.
+// route returns the targets for a call, spreading calls over the hosts of
+// equal rank.
 func (c *Client) route(service core.ServiceName) []router.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cached := c.routes[service].route
-	targets := append([]router.Target(nil), cached.Hosts...)
-	near := 0
-	for near < len(targets) && targets[near].Zone == targets[0].Zone {
-		near++
-	}
-	if near > 1 {
-		c.turn++
-		shift := int(c.turn % uint64(near))
-		for i := range near {
-			targets[i] = cached.Hosts[(i+shift)%near]
+	c.turn++
+	targets := make([]router.Target, 0, len(cached.Hosts))
+	for start := 0; start < len(cached.Hosts); {
+		end := start + 1
+		for end < len(cached.Hosts) && cached.Hosts[end].Rank == cached.Hosts[start].Rank {
+			end++
+		}
+		group := cached.Hosts[start:end]
+		for i := range group {
+			targets = append(targets, group[(i+int(c.turn%uint64(len(group))))%len(group)])
 		}
+		start = end
 	}
 	return targets
 }
--- a/demo/runner/drive.go
+++ b/demo/runner/drive.go
@@ -156,7 +156,7 @@
 	}
 	switch result.Verdict {
 	case driver.Refused:
-		r.refused = append(r.refused, call.Nonce)
+		r.refused = append(r.refused, refusal{call: call, result: result})
 	case driver.Unknown:
 		r.unknowns++
 		if !call.Service.Repeatable {
--- a/demo/runner/report.go
+++ b/demo/runner/report.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"syscall"
@@ -146,9 +147,11 @@
 	refused := slices.Clone(r.refused)
 	once := slices.Clone(r.once)
 	r.mu.Unlock()
-	for _, n := range refused {
-		if r.ledger.Runs(n) > 0 {
+	for _, f := range refused {
+		if r.ledger.Runs(f.call.Nonce) > 0 {
 			report.Broken[reporter.PromiseTrueRefusal]++
+			report.Notes = append(report.Notes, fmt.Sprintf("%s request %s ran and was refused as %s after %d sends, %s",
+				f.call.Service.Name, f.call.Nonce, f.result.Kind, f.result.Sends, f.result.Latency))
 		}
 	}
 	report.Broken[reporter.PromiseAtMostOnce] = r.ledger.Repeated(once)
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -67,7 +67,7 @@
 	background context.Context //nolint:containedctx // The run's own lifetime.
 
 	mu       sync.Mutex
-	refused  []string
+	refused  []refusal
 	once     []string
 	unknowns int
 	notes    []string
@@ -80,6 +80,12 @@
 	expected   int
 }
 
+// refusal is a request that was said not to have run.
+type refusal struct {
+	call   driver.Call
+	result driver.Result
+}
+
 // upstream is a stand-in with its description.
 type upstream struct {
 	*responder.Responder
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -62,6 +62,8 @@
 	Duration time.Duration
 	// Shed says that the upstream refused for lack of room.
 	Shed bool
+	// Stale says that a connection used before brought no answer.
+	Stale bool
 	// Leaving says that the upstream announced that it drains.
 	Leaving bool
 	// Fault names what was wrong, for logs and traces.
@@ -93,6 +95,7 @@
 	}
 	_ = conn.Close()
 	if result.State == core.RunUnknown {
+		result.Stale = conn.isReused
 		c.pools.closeAddress(attempt.Upstream.Address)
 	}
 	return result
--- a/entry/caller/connection.go
+++ b/entry/caller/connection.go
@@ -23,9 +23,9 @@
 	maxIdleTime = 30 * time.Second
 	// provenTime is how long after its last use a connection needs no proof
 	// before it carries a request that must run at most once.
-	provenTime = time.Second
+	provenTime = 20 * time.Millisecond
 	// proofTimeout bounds such a proof.
-	proofTimeout = 300 * time.Millisecond
+	proofTimeout = 100 * time.Millisecond
 )
 
 // errClosed reports that the upstream closed an idle connection.
@@ -39,6 +39,7 @@
 	progress time.Duration
 	deadline time.Time
 	used     time.Time
+	isReused bool
 }
 
 func newConnection(conn net.Conn) *connection {
@@ -168,6 +169,7 @@
 
 func (p *pools) put(address string, c *connection, now time.Time) {
 	c.used = now
+	c.isReused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/entry/messenger/call.go
+++ b/entry/messenger/call.go
@@ -44,7 +44,7 @@
 	call.Left = time.Until(deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	l, err := m.connect(ctx, to.PeerAddress)
+	l, err := m.connect(ctx, to)
 	if err != nil {
 		return Reply{}, &CallError{Err: err}
 	}
@@ -72,7 +72,7 @@
 func (m *Messenger) await(to core.Host, l *link, stream *quic.Stream, deadline time.Time) (Reply, error) {
 	reader := bufio.NewReader(stream)
 	start := time.Now()
-	limit := acceptBase + acceptTrips*m.RoundTrip(to)
+	limit := m.patience(to)
 	for {
 		_ = stream.SetReadDeadline(earlier(time.Now().Add(limit), deadline))
 		kind, err := reader.ReadByte()
@@ -184,9 +184,16 @@
 	}
 }
 
-// connect returns an open connection to an address.
-func (m *Messenger) connect(ctx context.Context, address string) (*link, error) {
-	l := m.link(address)
+// patience returns how long to wait for a host to show that it is there.
+func (m *Messenger) patience(to core.Host) time.Duration {
+	return acceptBase + acceptTrips*m.RoundTrip(to)
+}
+
+// connect returns an open connection to a host.
+func (m *Messenger) connect(ctx context.Context, to core.Host) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.patience(to))
+	defer cancel()
+	l := m.link(to.PeerAddress)
 	select {
 	case <-l.ready:
 		return l, l.err
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -38,8 +38,8 @@
 
 // Bounds of connections.
 const (
-	idleTimeout      = 3 * time.Second
-	keepAlive        = time.Second
+	idleTimeout      = 1200 * time.Millisecond
+	keepAlive        = 400 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
 	// retireTime is how long the calls on a connection that seems silent may
 	// still end on it.
--- a/entry/server/request.go
+++ b/entry/server/request.go
@@ -174,7 +174,7 @@
 		ID:       step.Attempt,
 		Upstream: step.Upstream,
 		Request:  request,
-		Progress: service.Progress.Duration(),
+		Progress: progressOf(service, step),
 		Once:     !service.Repeatable,
 		Trace:    span.Parent(),
 	}, s.now)
@@ -189,10 +189,20 @@
 		Outcome:   outcomeOf(result),
 		Duration:  result.Duration,
 		Shed:      result.Shed,
+		Stale:     result.Stale,
 		Attempted: true,
 	}
 }
 
+// progressOf returns the longest silence of an attempt.
+func progressOf(service core.Service, step dispatcher.Step) time.Duration {
+	progress := service.Progress.Duration()
+	if step.Patience > 0 && step.Patience < progress {
+		return step.Patience
+	}
+	return progress
+}
+
 // outcomeOf says what became of an attempt without naming the upstream.
 func outcomeOf(result caller.Result) core.Outcome {
 	switch result.State {
@@ -232,9 +242,10 @@
 	}
 	var failed *messenger.CallError
 	if errors.As(err, &failed) && !failed.Sent {
-		return dispatcher.Result{Outcome: core.Refuse(core.RefusalOverload, "another host could not be reached", 0)}
+		outcome := core.Refuse(core.RefusalOverload, "another host could not be reached", 0)
+		return dispatcher.Result{Outcome: outcome, Unreachable: true}
 	}
-	return dispatcher.Result{Outcome: core.Outcome{State: core.RunUnknown}}
+	return dispatcher.Result{Outcome: core.Outcome{State: core.RunUnknown}, Unreachable: true}
 }
 
 // ask asks another host what became of an attempt.
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -156,7 +156,7 @@
 	s.steerer.Init(now)
 	dial := s.Network.DialUpstream
 	if dial == nil {
-		dial = net.DialTimeout
+		dial = caller.DialTCP
 	}
 	s.caller = &caller.Caller{Dial: dial, MaxAnswer: s.Settings.Limits.MaxBody}
 	s.storer = &storer.Storer{
