Let the last send of a key speak for all of them

Cause: with silent connections a client was told not run for its second send, and a delayed first send ran afterwards; a host that was not the home of a key could refuse a re-sent request as not run. Change: the table keeps the ordinal that was refused and closes lower ones; only the key's home refuses a re-sent request as not run. Ejection follows a failure rate instead of failures in a row. A queue counts as standing after 2 s.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -30,8 +30,13 @@
 const (
 	// rampStep is the time in which a limited upstream gains one slot.
 	rampStep = 100 * time.Millisecond
-	// ejectAfter is the number of failures in a row that eject an upstream.
-	ejectAfter = 3
+	// failureSmoothing is the weight of an outcome in the running failure rate.
+	failureSmoothing = 0.1
+	// ejectAbove is the failure rate that ejects an upstream: two failures among
+	// a few requests.
+	ejectAbove = 0.15
+	// forgiveBelow is the failure rate at which earlier ejections are forgotten.
+	forgiveBelow = 0.01
 	// ejectBase is the first ejection; each further one doubles it.
 	ejectBase = time.Second
 	// ejectMost is the longest ejection.
@@ -80,7 +85,7 @@
 	// abandoned holds until when attempts that got no answer may still run.
 	abandoned []time.Time
 	rampedAt  time.Time
-	failures  int
+	failing   float64
 	ejections int
 	picked    uint64
 }
@@ -258,10 +263,13 @@
 		s.Limit = max(1, min(s.Limit, s.InFlight))
 		s.rampedAt = now
 	case result.State == core.Answered:
-		s.failures, s.ejections = 0, 0
+		s.failing *= 1 - failureSmoothing
+		if s.failing < forgiveBelow {
+			s.ejections = 0
+		}
 		s.measure(result.Duration, now)
 	default:
-		s.failures++
+		s.failing += failureSmoothing * (1 - s.failing)
 		if result.State == core.RunUnknown {
 			s.abandon(now)
 		}
@@ -300,7 +308,7 @@
 // eject takes an upstream out after repeated failures, up to half of its
 // service.
 func (t *Table) eject(s *State, now time.Time) {
-	if s.failures < ejectAfter {
+	if s.failing < ejectAbove {
 		return
 	}
 	list := t.byName[s.Service]
@@ -315,8 +323,10 @@
 	}
 	pause := min(ejectMost, ejectBase<<min(s.ejections, 5))
 	s.ejections++
-	s.failures = 0
+	s.failing = 0
 	s.EjectedUntil = now.Add(pause)
+	s.Limit = 1
+	s.rampedAt = s.EjectedUntil
 }
 
 // SetReport takes in what an upstream says of itself.
--- a/core/deduplicator/deduplicator.go
+++ b/core/deduplicator/deduplicator.go
@@ -8,9 +8,9 @@
 //
 // # Usage
 //
-//	switch entry := table.Begin(id, fingerprint, expiry, now); entry.Verdict {
+//	switch entry := table.Begin(send, now); entry.Verdict {
 //	case deduplicator.Run:
-//		table.Finish(id, run(), now)
+//		table.Finish(send.ID, run(), false)
 //	case deduplicator.Replay:
 //		return entry.Outcome
 //	}
@@ -44,6 +44,11 @@
 	Reused
 	// Full says that the table has no room; nothing was run.
 	Full
+	// Closed says that a later send of the id was refused as not run, so that
+	// this one must not run any more.
+	Closed
+	// open is the state of an id that was refused and may begin again.
+	open
 )
 
 // Entry is the answer to Begin and Query.
@@ -61,7 +66,9 @@
 	outcome     core.Outcome
 	done        chan struct{}
 	expiry      time.Time
-	size        core.Bytes
+	// ordinal is of the send that runs, or of the last one that was refused.
+	ordinal int
+	size           core.Bytes
 }
 
 // Table remembers ids until they expire.
@@ -83,25 +90,52 @@
 	forgotten map[string]uint64
 }
 
-// Begin asks to run an id that must be remembered until expiry.
-func (t *Table) Begin(id string, fingerprint uint64, expiry, now time.Time) Entry {
+// Send is one sending of an id.
+type Send struct {
+	ID string
+	// Fingerprint tells requests under the same id apart.
+	Fingerprint uint64
+	// Ordinal counts the sends of an id, from 0.
+	Ordinal int
+	// Expiry is until when the id must be remembered.
+	Expiry time.Time
+}
+
+// Begin asks to run an id.
+func (t *Table) Begin(send Send, now time.Time) Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.records[id]
-	if known == nil && t.isForgotten(id) {
+	known := t.records[send.ID]
+	if known == nil && t.isForgotten(send.ID) {
 		return Entry{Verdict: Buried}
 	}
 	if known == nil {
 		if len(t.records) >= t.MaxEntries && t.expire(now) == 0 {
 			return Entry{Verdict: Full}
 		}
-		t.put(id, &record{fingerprint: fingerprint, verdict: Wait, done: make(chan struct{}), expiry: expiry})
-		return Entry{Verdict: Run}
+		known = &record{fingerprint: send.Fingerprint}
+		t.put(send.ID, known)
+		return known.begin(send)
 	}
-	if known.verdict != Buried && known.fingerprint != fingerprint {
+	switch {
+	case known.verdict != Buried && known.fingerprint != send.Fingerprint:
 		return Entry{Verdict: Reused}
+	case known.verdict != open:
+		return known.entry()
+	case send.Ordinal <= known.ordinal:
+		return Entry{Verdict: Closed}
+	default:
+		return known.begin(send)
 	}
-	return known.entry()
+}
+
+// begin marks the id as running.
+func (r *record) begin(send Send) Entry {
+	r.verdict = Wait
+	r.done = make(chan struct{})
+	r.ordinal = send.Ordinal
+	r.expiry = send.Expiry
+	return Entry{Verdict: Run}
 }
 
 // Query tells what is known of an id. An unknown id is buried until expiry. Of
@@ -120,8 +154,8 @@
 	return known.entry()
 }
 
-// Finish ends a running id. An id that was not run may begin again, unless
-// bury is set.
+// Finish ends a running id. An id that was not run may begin again with a
+// higher ordinal, unless bury is set.
 func (t *Table) Finish(id string, outcome core.Outcome, bury bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,7 +172,7 @@
 	case bury:
 		known.verdict = Buried
 	default:
-		delete(t.records, id)
+		known.verdict = open
 	}
 }
 
--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -36,6 +36,8 @@
 	outcome core.Outcome
 	// home is the host that may run the request, where it is another one.
 	home core.Host
+	// isSettled says that the home of the key has spoken about it.
+	isSettled bool
 	// holdsKey and holdsAttempt say which tables expect a Finish.
 	holdsKey     bool
 	holdsAttempt bool
@@ -107,6 +109,9 @@
 	if d.stage == stageDone {
 		return
 	}
+	if outcome.State == core.NotRun && d.mayHaveRunBefore() {
+		outcome = core.Unknown(outcome.Refusal.Kind, outcome.Refusal.Detail+"; an earlier send may have been run")
+	}
 	d.stage = stageDone
 	d.outcome = outcome
 	if d.holdsKey {
@@ -117,6 +122,12 @@
 	}
 }
 
+// mayHaveRunBefore reports whether an earlier send of the key may have been
+// run: the home of the key has not spoken.
+func (d *Dispatch) mayHaveRunBefore() bool {
+	return d.request.Ordinal > 0 && d.request.Key.Text != "" && d.origin.mayForward() && !d.isSettled
+}
+
 func (d *Dispatch) refuse(kind core.RefusalKind, detail string) {
 	d.finish(core.Refuse(kind, detail, 0))
 }
@@ -177,8 +188,10 @@
 // beginAttempt admits what a peer handed over, unless the peer has been told
 // that it was not run.
 func (d *Dispatch) beginAttempt(now time.Time) bool {
-	expiry := d.request.Deadline.Add(keyMargin)
-	entry := d.shared.Attempts.Begin(string(d.origin.Attempt), 0, expiry, now)
+	entry := d.shared.Attempts.Begin(deduplicator.Send{
+		ID:     string(d.origin.Attempt),
+		Expiry: d.request.Deadline.Add(keyMargin),
+	}, now)
 	switch entry.Verdict {
 	case deduplicator.Run:
 		d.holdsAttempt = true
@@ -245,7 +258,10 @@
 	if key.IsHomeBound() {
 		expiry = key.Minted.Add(KeyLife + keyMargin)
 	}
-	entry := d.shared.Keys.Begin(key.Text, fingerprint(d.request), expiry, now)
+	entry := d.shared.Keys.Begin(deduplicator.Send{
+		ID: key.Text, Fingerprint: fingerprint(d.request), Ordinal: d.request.Ordinal, Expiry: expiry,
+	}, now)
+	d.isSettled = entry.Verdict != deduplicator.Wait && entry.Verdict != deduplicator.Full
 	switch entry.Verdict {
 	case deduplicator.Run:
 		d.holdsKey = true
@@ -261,6 +277,8 @@
 		return Step{Kind: StepAwait, Done: entry.Done, Until: d.request.Deadline}, true
 	case deduplicator.Replay:
 		d.finish(entry.Outcome)
+	case deduplicator.Closed:
+		d.refuse(core.RefusalStaleHome, "a later send was refused; take a new key, or a higher ordinal")
 	case deduplicator.Reused:
 		d.refuse(core.RefusalKeyReused, "the key was used with another request")
 	default:
@@ -466,6 +484,7 @@
 		d.neverRunIfFirst(core.RefusalStaleHome, "the key's home cannot be reached")
 		return
 	}
+	d.isSettled = true
 	d.finish(result.Outcome)
 }
 
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -63,7 +63,7 @@
 // Bounds of waiting for a slot.
 const (
 	queueTarget   = 40 * time.Millisecond
-	queueInterval = 500 * time.Millisecond
+	queueInterval = 2 * time.Second
 	queueLimit    = 2000
 )
 
--- a/core/simulator/flow_test.go
+++ b/core/simulator/flow_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/deduplicator"
 	"github.com/endiverun/endiverun/core/dispatcher"
@@ -174,6 +176,17 @@
 	}
 }
 
+// checkLater fails where a later send under the same key was said not to have
+// run: it spoke for this one too.
+func (o *order) checkLater(t *rapid.T, run *send) {
+	for _, s := range o.sends {
+		isLater := s.request.Key.Text == run.request.Key.Text && s.request.Ordinal > run.request.Ordinal
+		if isLater && s.ended && s.outcome.State == core.NotRun {
+			t.Fatalf("send %s ran after %s was said not to have run", run.request.ID, s.request.ID)
+		}
+	}
+}
+
 // reach lets an attempt arrive at its upstream, or be refused a connection.
 func (w *world) reach(a *attempt, isRefused bool) {
 	if isRefused {
@@ -193,10 +206,12 @@
 // noteRun writes the ledger.
 func (w *world) noteRun(a *attempt) {
 	for _, s := range w.sends {
-		if s.request.ID == a.flow.request.ID {
-			s.runs++
-			s.order.runs++
+		if s.request.ID != a.flow.request.ID {
+			continue
 		}
+		s.runs++
+		s.order.runs++
+		s.order.checkLater(w.random, s)
 	}
 }
 
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -139,6 +139,7 @@
 }
 
 func (w *world) actArrive(t *rapid.T) {
+	w.random = t
 	var list []*attempt
 	for _, a := range w.attempts {
 		if !a.done && !a.running && !a.flow.node.paused {
--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -240,13 +240,16 @@
 	home     string
 	ordinal  int
 	sends    int
-	cut      bool
+	// lost says that some send brought no answer; cut that a connection ended.
+	lost bool
+	cut  bool
 }
 
 // reply is what one send brought.
 type reply struct {
 	unsent  bool
 	lost    bool
+	late    bool
 	status  int
 	problem listener.Problem
 	verdict Verdict
@@ -299,7 +302,8 @@
 		return Result{Verdict: verdict, Kind: "unreachable"}, true
 	case r.lost:
 		e.ordinal++
-		e.cut = true
+		e.lost = true
+		e.cut = e.cut || !r.late
 		return Result{Verdict: Unknown, Kind: "connection-lost"}, true
 	case r.problem.Type != "":
 		return e.judgeProblem(r.problem)
@@ -312,7 +316,7 @@
 // answers for all sends of it; without a key an earlier send that was lost may
 // have been run.
 func (e *exchange) unserved() Verdict {
-	if e.cut && e.call.Service.Repeatable {
+	if e.lost && e.call.Service.Repeatable {
 		return Unknown
 	}
 	return Refused
@@ -344,7 +348,7 @@
 	if err != nil {
 		c.forget(target.Address)
 		var refused dialError
-		return reply{unsent: errors.As(err, &refused), lost: true}
+		return reply{unsent: errors.As(err, &refused), lost: true, late: errors.Is(err, fasthttp.ErrTimeout)}
 	}
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
