Hand a request over again when its home never got it

Cause: a question to the home of a key proves only that one handing over was not run; for a re-sent request it was passed on as not run while the first send was running. Change: the request is handed over again and the home decides; the oracle checks that a refusal of a later send speaks for the earlier ones.

--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -462,10 +462,14 @@
 		d.observeSilence(now)
 		return
 	}
-	if d.last.Kind == StepHome || d.askedHome {
+	if d.last.Kind == StepHome {
 		d.observeHome(result)
 		return
 	}
+	if d.askedHome {
+		d.observeAskedHome(result)
+		return
+	}
 	d.stage = stageSteer
 	d.refused = append(d.refused, d.last.Host.Name)
 	if result.Attempted {
@@ -488,6 +492,18 @@
 	d.finish(result.Outcome)
 }
 
+// observeAskedHome takes in what the home said about a handing over. That it
+// was not run says nothing about earlier sends, so the request is handed over
+// again and the home decides.
+func (d *Dispatch) observeAskedHome(result Result) {
+	if result.Outcome.State == core.NotRun {
+		d.askedHome = false
+		d.stage = stageKey
+		return
+	}
+	d.finish(result.Outcome)
+}
+
 // observeSilence decides after a handing over, or a question about it, that
 // brought no answer. Result.Outcome without a refusal stands for this.
 func (d *Dispatch) observeSilence(now time.Time) {
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -348,6 +348,9 @@
 		if s.ended && s.outcome.State == core.NotRun && s.runs > 0 {
 			t.Fatalf("send %d ran although it was said not to have run: %+v", i, *s.outcome.Refusal)
 		}
+		if s.ended && s.outcome.State == core.NotRun && s.order.ranBefore(s) {
+			t.Fatalf("send %d was said not to have run, an earlier one ran: %+v", i, *s.outcome.Refusal)
+		}
 		if s.ended && s.outcome.Refusal != nil && s.outcome.Refusal.Kind == core.RefusalStopping {
 			t.Fatalf("send %d was refused because its host stops", i)
 		}
@@ -357,6 +360,16 @@
 	}
 }
 
+// ranBefore reports whether an earlier send under the same key ran.
+func (o *order) ranBefore(last *send) bool {
+	for _, s := range o.sends {
+		if s.request.Key.Text == last.request.Key.Text && s.request.Ordinal < last.request.Ordinal && s.runs > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // owns reports whether an answer belongs to a send of the order that ran.
 func (o *order) owns(answer *core.Answer) bool {
 	for _, s := range o.sends {
