--- a/core/deduplicator/deduplicator.go
+++ b/core/deduplicator/deduplicator.go
@@ -68,7 +68,7 @@
 	expiry      time.Time
 	// ordinal is of the send that runs, or of the last one that was refused.
 	ordinal int
-	size           core.Bytes
+	size    core.Bytes
 }
 
 // Table remembers ids until they expire.
--- /dev/null
+++ b/core/steerer/steerer_bench_test.go
@@ -0,0 +1,187 @@
+package steerer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/balancer"
+	"github.com/endiverun/endiverun/core/dispatcher"
+	"github.com/endiverun/endiverun/core/router"
+	"github.com/endiverun/endiverun/core/steerer"
+	"github.com/endiverun/endiverun/core/tracker"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func hostOf(i, zones int) core.Host {
+	z := i % zones
+	return core.Host{
+		Name: core.HostName(fmt.Sprintf("host-%d", i)), Incarnation: 1,
+		Zone:          core.Zone{Name: core.ZoneName(fmt.Sprintf("zone-%d", z)), Region: core.RegionName(fmt.Sprintf("region-%d", z/3))},
+		ClientAddress: "10.0.0.1:8080", PeerAddress: "10.0.0.1:8443",
+	}
+}
+
+// fleet returns a host that knows the given number of others.
+func fleet(hosts, zones, blocks int) *steerer.Steerer {
+	s := &steerer.Steerer{
+		Self:      hostOf(0, zones),
+		RoundTrip: func(core.Host) time.Duration { return time.Millisecond },
+		Policy:    balancer.LeastExpected,
+	}
+	s.Init(now)
+	ticket := core.Ticket{Number: 1, Author: "bench"}
+	ticket.Services = []core.Service{{Name: "lookup", Repeatable: true, Deadline: 1000, Progress: 1000}}
+	for z := range zones {
+		ticket.Zones = append(ticket.Zones, hostOf(z, zones).Zone)
+		for i := range 8 {
+			ticket.Upstreams = append(ticket.Upstreams, core.Upstream{
+				Name: core.UpstreamName(fmt.Sprintf("up-%d-%d", z, i)), Service: "lookup",
+				Zone: hostOf(z, zones).Zone.Name, Address: "10.0.0.2:80", Slots: 6,
+			})
+		}
+	}
+	for i := range blocks {
+		address := netip.AddrFrom4([4]byte{byte(10 + i>>20), byte(i >> 12), byte(i >> 4), byte(i << 4)})
+		ticket.Blocks = append(ticket.Blocks, core.Block{
+			Prefix: netip.PrefixFrom(address, 28), Zone: hostOf(i%zones, zones).Zone.Name,
+		})
+	}
+	s.Offer(ticket, now)
+	var records []tracker.Record
+	for i := 1; i < hosts; i++ {
+		records = append(records, recordOf(i, zones, 1))
+	}
+	s.Receive(records, now)
+	for _, u := range s.Balancer.States() {
+		s.Balancer.SetReport(u.Name, 0, false, now)
+	}
+	return s
+}
+
+func recordOf(i, zones int, sequence uint64) tracker.Record {
+	return tracker.Record{
+		Host: hostOf(i, zones), Phase: core.PhaseLive, Sequence: sequence, Ticket: 1,
+		Spares: []tracker.Spare{{Service: "lookup", Free: 3, Total: 6, Expected: time.Millisecond}},
+	}
+}
+
+// sizes are hosts and zones: today's, and steps to the fleet.
+var sizes = [][2]int{{12, 6}, {130, 10}, {1300, 96}}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, size := range sizes {
+		s := fleet(size[0], size[1], 1000)
+		query := router.Query{Service: "lookup", Zone: s.Self.Zone}
+		b.Run(fmt.Sprintf("hosts=%d", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				query.Spread = uint64(i)
+				s.Router.Route(query, 1, now)
+			}
+		})
+	}
+}
+
+func BenchmarkRouteRebuild(b *testing.B) {
+	for _, size := range sizes {
+		s := fleet(size[0], size[1], 1000)
+		query := router.Query{Service: "lookup", Zone: s.Self.Zone}
+		b.Run(fmt.Sprintf("hosts=%d", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				s.Router.Route(query, 1, now.Add(time.Duration(i)*time.Second))
+			}
+		})
+	}
+}
+
+// BenchmarkDecision takes a request from its arrival to an upstream and back.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range sizes {
+		s := fleet(size[0], size[1], 1000)
+		request := core.Request{Service: "lookup", Deadline: now.Add(time.Hour)}
+		b.Run(fmt.Sprintf("hosts=%d", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				d := s.Dispatcher.Start(request, dispatcher.Origin{}, func() {})
+				if step := d.Next(now); step.Kind != dispatcher.StepRun && step.Kind != dispatcher.StepForward {
+					b.Fatal(step.Kind)
+				}
+				d.Observe(dispatcher.Result{Outcome: core.OutcomeOf(&core.Answer{}), Duration: time.Millisecond}, now)
+			}
+		})
+	}
+}
+
+// BenchmarkPick is the steering decision alone: a slot taken and given back.
+func BenchmarkPick(b *testing.B) {
+	for _, policy := range balancer.Policies {
+		s := fleet(12, 6, 0)
+		s.Balancer.Policy = policy
+		b.Run(policy.Name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				u, ok := s.Balancer.Acquire("lookup", balancer.Demand{}, now)
+				if !ok {
+					b.Fatal("no slot")
+				}
+				s.Balancer.Release(u.Name, balancer.Result{State: core.Answered, Duration: time.Millisecond}, now)
+			}
+		})
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	for _, size := range sizes {
+		s := fleet(size[0], size[1], 0)
+		b.Run(fmt.Sprintf("hosts=%d", size[0]), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				s.Receive([]tracker.Record{recordOf(1+i%(size[0]-1), size[1], uint64(i+2))}, now)
+			}
+		})
+	}
+}
+
+func BenchmarkApplyTicket(b *testing.B) {
+	for _, blocks := range []int{1000, 30_000, 300_000} {
+		s := fleet(12, 6, blocks)
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			b.ReportAllocs()
+			configuration := s.Sequencer.Configuration()
+			ticket := core.Ticket{
+				Number: 2, Author: "bench",
+				Blocks: []core.Block{{Prefix: netip.MustParsePrefix("10.0.0.16/28"), Zone: "zone-1"}},
+			}
+			for range b.N {
+				configuration.Apply(ticket)
+			}
+		})
+	}
+}
+
+// BenchmarkBlocksMemory reports the bytes that a client block takes.
+func BenchmarkBlocksMemory(b *testing.B) {
+	for _, blocks := range []int{30_000, 300_000, 3_000_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				s := fleet(12, 6, blocks)
+				b.ReportMetric(float64(heap()-before)/float64(blocks), "bytes/block")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -114,8 +114,8 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.SkipBody = attempt.Request.Method == fasthttp.MethodHead
-	if err := response.ReadLimitBody(conn.reader, int(c.MaxAnswer)); err != nil {
-		return unknown("receive: " + err.Error()), false
+	if fault := read(response, conn.reader, c.MaxAnswer); fault != "" {
+		return unknown(fault), false
 	}
 	return judge(response, attempt)
 }
@@ -154,6 +154,33 @@
 	}
 }
 
+// readToClose is how fasthttp tells that an answer declares no length, so that
+// a truncated one would look whole.
+const readToClose = -2
+
+// read reads an answer and returns what is wrong with it.
+func read(response *fasthttp.Response, r *bufio.Reader, limit core.Bytes) string {
+	for {
+		if err := response.Header.Read(r); err != nil {
+			return "receive: " + err.Error()
+		}
+		if response.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+	}
+	isEmpty := response.StatusCode() == fasthttp.StatusNoContent || response.StatusCode() == fasthttp.StatusNotModified
+	if response.SkipBody || isEmpty {
+		return ""
+	}
+	if response.Header.ContentLength() == readToClose {
+		return "the answer declares no length"
+	}
+	if err := response.ReadBody(r, int(limit)); err != nil {
+		return "receive: " + err.Error()
+	}
+	return ""
+}
+
 // judge decides what a received answer proves.
 func judge(response *fasthttp.Response, attempt Attempt) (Result, bool) {
 	header := &response.Header
@@ -181,10 +208,6 @@
 	if response.SkipBody {
 		return ""
 	}
-	const readToClose = -2
-	if response.Header.ContentLength() == readToClose {
-		return "the answer declares no length"
-	}
 	declared := response.Header.Peek(HeaderDigest)
 	if len(declared) > 0 && string(declared) != Digest(response.Body()) {
 		return "the answer does not match its digest"
--- /dev/null
+++ b/entry/caller/caller_test.go
@@ -0,0 +1,93 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/caller"
+)
+
+// answering serves one scripted answer to each request on a pipe.
+func answering(answer func(attempt string) string) caller.Dialer {
+	return func(string, string, time.Duration) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			reader := bufio.NewReader(far)
+			attempt := ""
+			for {
+				line, err := reader.ReadString('\n')
+				if err != nil {
+					return
+				}
+				if name, value, ok := strings.Cut(strings.TrimSpace(line), ": "); ok && name == caller.HeaderAttempt {
+					attempt = value
+				}
+				if strings.TrimSpace(line) == "" {
+					_, _ = fmt.Fprint(far, answer(attempt))
+					return
+				}
+			}
+		}()
+		return near, nil
+	}
+}
+
+func whole(attempt string) string {
+	const body = "hello"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s",
+		caller.HeaderAttempt, attempt, len(body), caller.HeaderDigest, caller.Digest([]byte(body)), body)
+}
+
+// TestAnswers checks what each kind of answer proves.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(attempt string) string
+		want   core.RunState
+	}{
+		{"whole", func(a string) string { return whole(a) }, core.Answered},
+		{"crossed", func(string) string { return whole("another") }, core.RunUnknown},
+		{"truncated", func(a string) string { return whole(a)[:len(whole(a))-2] }, core.RunUnknown},
+		{"damaged", func(a string) string { return strings.Replace(whole(a), "\r\nhello", "\r\njello", 1) }, core.RunUnknown},
+		{"without length", func(a string) string {
+			return "HTTP/1.1 200 OK\r\n" + caller.HeaderAttempt + ": " + a + "\r\n\r\nhello"
+		}, core.RunUnknown},
+		{"no answer", func(string) string { return "" }, core.RunUnknown},
+		{"shed", func(a string) string {
+			return "HTTP/1.1 503 X\r\n" + caller.HeaderAttempt + ": " + a + "\r\n" +
+				caller.HeaderRunState + ": not-run\r\nContent-Length: 0\r\n\r\n"
+		}, core.NotRun},
+		{"shed for another", func(string) string {
+			return "HTTP/1.1 503 X\r\n" + caller.HeaderAttempt + ": b\r\n" +
+				caller.HeaderRunState + ": not-run\r\nContent-Length: 0\r\n\r\n"
+		}, core.RunUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			subject := &caller.Caller{Dial: answering(c.answer), MaxAnswer: core.Mebibyte}
+			result := subject.Do(caller.Attempt{
+				ID:       "a.1.1",
+				Upstream: core.Upstream{Address: "127.0.0.1:1"},
+				Request:  core.Request{Method: "GET", Path: "/", Deadline: time.Now().Add(5 * time.Second)},
+				Progress: 5 * time.Second,
+			}, time.Now)
+			is.Equal(result.State, c.want)
+		})
+	}
+}
+
+func TestRefusedConnectionWasNotRun(t *testing.T) {
+	is := is.New(t)
+	subject := &caller.Caller{Dial: func(string, string, time.Duration) (net.Conn, error) { return nil, net.ErrClosed }}
+	result := subject.Do(caller.Attempt{Request: core.Request{Deadline: time.Now().Add(time.Second)}}, time.Now)
+	is.Equal(result.State, core.NotRun)
+}
--- /dev/null
+++ b/entry/listener/listener_test.go
@@ -0,0 +1,90 @@
+package listener_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/listener"
+)
+
+// start serves echoes and returns the address.
+func start(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	var config net.ListenConfig
+	socket, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &listener.Listener{
+		MaxBody: 64 * core.Kibibyte, MaxConnections: 100, OperatorToken: "secret",
+		Listen: func(string) (net.Listener, error) { return socket, nil },
+		Prepare: func(in listener.Incoming) core.Request {
+			return core.Request{Path: in.Path, Body: in.Body, Key: in.Key}
+		},
+		Serve: func(r core.Request) core.Outcome {
+			return core.OutcomeOf(&core.Answer{Status: 200, Body: []byte(r.Path)})
+		},
+		Status:    func() any { return map[string]string{"host": "h"} },
+		IsReady:   func() bool { return true },
+		IsLeaving: func() bool { return false },
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx, time.Second) }()
+	t.Cleanup(func() {
+		stop()
+		is.NoErr(<-done)
+	})
+	return socket.Addr().String()
+}
+
+// exchange writes raw bytes and returns the first line of the answer.
+func exchange(t *testing.T, address, raw string) string {
+	t.Helper()
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, raw)
+	answer, _ := io.ReadAll(conn)
+	line, _, _ := strings.Cut(string(answer), "\r\n")
+	return line
+}
+
+func TestBadInputIsRefused(t *testing.T) {
+	address := start(t)
+	cases := []struct{ name, raw, want string }{
+		{"good", "GET /s/x/a?b=1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "200"},
+		{"garbage", "\x00\x01\x02\r\n\r\n", "400"},
+		{"long header", "GET / HTTP/1.1\r\nA: " + strings.Repeat("a", 64<<10) + "\r\n\r\n", "431"},
+		{"long body", fmt.Sprintf("POST /s/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", 1<<30), "413"},
+		{"bad key", "GET /s/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nIdempotency-Key: home.x\r\n\r\n", "400"},
+		{"bad deadline", "GET /s/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nEndiverun-Deadline-Ms: soon\r\n\r\n", "400"},
+		{"no token", "GET /v1/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "401"},
+		{"wrong token", "GET /v1/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer x\r\n\r\n", "401"},
+		{"token", "GET /v1/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer secret\r\n\r\n", "200"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if line := exchange(t, address, c.raw); !strings.Contains(line, c.want) {
+				t.Errorf("got %q, want %s", line, c.want)
+			}
+		})
+	}
+	is := is.New(t)
+	answer, err := http.Get("http://" + address + "/healthz") //nolint:noctx // The test has its own limit.
+	is.NoErr(err)
+	is.NoErr(answer.Body.Close())
+	is.Equal(answer.StatusCode, http.StatusOK) // still serves after all that
+}
--- /dev/null
+++ b/entry/loader/loader_test.go
@@ -0,0 +1,40 @@
+package loader_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/loader"
+)
+
+func TestParseReportsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	_, err := loader.Parse([]byte(`{"name":"A b","region":"r","zone":"z","client-address":"x","peer-address":"127.0.0.1:1",
+		"seed-peers":["y"],"platform":{"address":"127.0.0.1:0"},"tls":{"certificate":"c","certificate-file":"f"},
+		"traces":{"exporter":"paper","ratio":2},"limits":{"policy":"guess"},"log-level":"loud"}`))
+	findings, ok := core.FindingsOf(err)
+	is.True(ok)
+	pointers := map[string]bool{}
+	for _, f := range findings {
+		pointers[f.Pointer] = true
+	}
+	for _, want := range []string{
+		"/name", "/client-address", "/seed-peers/0", "/platform/address", "/tls/certificate", "/tls/key",
+		"/tls/authority", "/traces/exporter", "/traces/ratio", "/limits/policy", "/log-level",
+	} {
+		is.True(pointers[want]) // a finding at each place
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"name":"a"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := loader.Parse(data); err != nil {
+			if _, ok := core.FindingsOf(err); !ok {
+				t.Fatalf("not findings: %v", err)
+			}
+		}
+	})
+}
