--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -140,8 +140,12 @@
 // forget makes further calls to a host open new connections.
 func (c *Client) forget(address string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	old := c.clients[address]
 	delete(c.clients, address)
+	c.mu.Unlock()
+	if old != nil {
+		old.CloseIdleConnections()
+	}
 }
 
 // Refresh asks for the routes of all services, first from the hosts in use.
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -53,7 +53,7 @@
 		answer func(attempt string) string
 		want   core.RunState
 	}{
-		{"whole", func(a string) string { return whole(a) }, core.Answered},
+		{"whole", whole, core.Answered},
 		{"crossed", func(string) string { return whole("another") }, core.RunUnknown},
 		{"truncated", func(a string) string { return whole(a)[:len(whole(a))-2] }, core.RunUnknown},
 		{"damaged", func(a string) string { return strings.Replace(whole(a), "\r\nhello", "\r\njello", 1) }, core.RunUnknown},
