Keep decisions and records cheap at fleet size

Cause: every decision sorted and walked all members, and every record moved roles anew, so both grew with the fleet. Change: a decision looks at its region first and at others only without room; what a host says of its room is written into the view; a record moves roles only when it changes a host, its phase or its held work.

--- a/core/dispatcher/chooser.go
+++ b/core/dispatcher/chooser.go
@@ -38,8 +38,8 @@
 	if !d.origin.mayForward() {
 		return r.chooseLocal(d, r.reserveFor(d.origin, summary.Total), now)
 	}
-	best, bestCost, ok := r.bestPeer(d, now)
 	hasLocal := summary.Free > 0
+	best, bestCost, ok := r.bestPeer(d, hasLocal, now)
 	if ok && d.forwards < maxForwards && (!hasLocal || bestCost < (1-switchGain)*r.localCost(summary)) {
 		r.Tracker.TakeSpare(best.Host.Name, d.request.Service)
 		r.takeView(best.Host.Name, d.request.Service)
@@ -85,14 +85,15 @@
 	return r.cost(0, summary.Expected, summary.Free, summary.Total)
 }
 
-// bestPeer returns the host with room that costs least: one of this region,
-// or of another region while waiting here would take longer than the way.
-func (r *Dispatcher) bestPeer(d *Dispatch, now time.Time) (tracker.Member, float64, bool) {
+// bestPeer returns the host with room that costs least: one of this region, or,
+// where neither it nor this host has room, of another region.
+func (r *Dispatcher) bestPeer(d *Dispatch, hasLocal bool, now time.Time) (tracker.Member, float64, bool) {
 	var best tracker.Member
 	bestCost := 0.0
 	found := false
-	for _, m := range r.view(now) {
-		spare, ok := r.usableSpare(d, m, now)
+	r.refreshView(now)
+	for _, m := range r.near {
+		spare, ok := usableSpare(d, m)
 		if !ok {
 			continue
 		}
@@ -101,22 +102,39 @@
 			best, bestCost, found = m, c, true
 		}
 	}
+	if found || hasLocal {
+		return best, bestCost, found
+	}
+	return r.bestFar(d, now)
+}
+
+// bestFar returns the host of another region with room that costs least.
+func (r *Dispatcher) bestFar(d *Dispatch, now time.Time) (tracker.Member, float64, bool) {
+	var best tracker.Member
+	bestCost := 0.0
+	found := false
+	for _, m := range r.far {
+		spare, ok := usableSpare(d, m)
+		if !ok || spare.Free <= reserveOf(spare.Total) {
+			continue
+		}
+		c := r.cost(r.RoundTrip(m.Host), spare.Expected, spare.Free, spare.Total)
+		if (!found || c < bestCost) && r.mayLeaveRegion(d, m, now) {
+			best, bestCost, found = m, c, true
+		}
+	}
 	return best, bestCost, found
 }
 
 // usableSpare returns what a member can take in of the request's service.
-func (r *Dispatcher) usableSpare(d *Dispatch, m tracker.Member, now time.Time) (tracker.Spare, bool) {
+func usableSpare(d *Dispatch, m tracker.Member) (tracker.Spare, bool) {
 	if m.Phase != core.PhaseLive || slices.Contains(d.refused, m.Host.Name) {
 		return tracker.Spare{}, false
 	}
 	for _, s := range m.Spares {
-		if s.Service != d.request.Service || s.Free <= 0 {
-			continue
-		}
-		if m.Host.Zone.Region == r.Self.Zone.Region {
+		if s.Service == d.request.Service && s.Free > 0 {
 			return s, true
 		}
-		return s, s.Free > reserveOf(s.Total) && r.mayLeaveRegion(d, m, now)
 	}
 	return tracker.Spare{}, false
 }
@@ -136,36 +154,59 @@
 	return r.Links.CanSend(m.Host.Zone.Region, size, sendWithin, now)
 }
 
-// view returns the live members. The caller holds mu.
-func (r *Dispatcher) view(now time.Time) []tracker.Member {
-	if r.members == nil || now.Sub(r.viewed) >= viewAge || now.Before(r.viewed) {
-		r.members, r.viewed = r.Tracker.Live(now), now
+// refreshView reads the live members where the last view is old. The caller
+// holds mu.
+func (r *Dispatcher) refreshView(now time.Time) {
+	if !r.viewed.IsZero() && now.Sub(r.viewed) < viewAge && !now.Before(r.viewed) {
+		return
+	}
+	r.viewed = now
+	r.near, r.far = r.near[:0], r.far[:0]
+	for _, m := range r.Tracker.Live(now) {
+		if m.Host.Zone.Region == r.Self.Zone.Region {
+			r.near = append(r.near, m)
+		} else {
+			r.far = append(r.far, m)
+		}
+	}
+}
+
+// setView replaces the spares of a host in the view. The caller holds mu.
+func (r *Dispatcher) setView(host core.HostName, change func([]tracker.Spare) []tracker.Spare) {
+	for _, list := range [][]tracker.Member{r.near, r.far} {
+		for i := range list {
+			if list[i].Host.Name == host {
+				list[i].Spares = change(list[i].Spares)
+				return
+			}
+		}
 	}
-	return r.members
 }
 
 // takeView lowers the free slots in the view as Tracker.TakeSpare does in the
-// tracker.
+// tracker. The caller holds mu.
 func (r *Dispatcher) takeView(host core.HostName, service core.ServiceName) {
-	for i := range r.members {
-		if r.members[i].Host.Name != host {
-			continue
-		}
-		spares := slices.Clone(r.members[i].Spares)
-		for j := range spares {
-			if spares[j].Service == service && spares[j].Free > 0 {
-				spares[j].Free--
+	r.setView(host, func(old []tracker.Spare) []tracker.Spare {
+		spares := slices.Clone(old)
+		for i := range spares {
+			if spares[i].Service == service && spares[i].Free > 0 {
+				spares[i].Free--
 			}
 		}
-		r.members[i].Spares = spares
-	}
+		return spares
+	})
 }
 
-// dropView makes the next choice read the tracker again.
-func (r *Dispatcher) dropView() {
+// learn takes in what a host said of its room; none means unreachable.
+func (r *Dispatcher) learn(host core.Host, spares []tracker.Spare) {
+	if spares == nil {
+		r.Tracker.Suspect(host.Life())
+	} else {
+		r.Tracker.SetSpare(host.Life(), spares)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.members = nil
+	r.setView(host.Name, func([]tracker.Spare) []tracker.Spare { return spares })
 }
 
 // Explain says where a request for a service would go now. It takes nothing.
@@ -174,7 +215,7 @@
 	defer r.mu.Unlock()
 	probe := &Dispatch{shared: r, request: core.Request{Service: service}}
 	summary := r.Balancer.Summarize(service, now)
-	best, bestCost, ok := r.bestPeer(probe, now)
+	best, bestCost, ok := r.bestPeer(probe, summary.Free > 0, now)
 	switch {
 	case r.queue(service).Len() > 0:
 		return "wait in the queue of this host"
--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -449,13 +449,8 @@
 
 // observePeer takes in what another host said.
 func (d *Dispatch) observePeer(result Result, now time.Time) {
-	if len(result.Spares) > 0 {
-		d.shared.Tracker.SetSpare(d.last.Host.Life(), result.Spares)
-		d.shared.dropView()
-	}
-	if result.Unreachable {
-		d.shared.Tracker.Suspect(d.last.Host.Life())
-		d.shared.dropView()
+	if len(result.Spares) > 0 || result.Unreachable {
+		d.shared.learn(d.last.Host, result.Spares)
 	}
 	d.attempted = d.attempted || result.Attempted
 	if result.Outcome.State == core.RunUnknown && result.Outcome.Refusal == nil {
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -87,12 +87,14 @@
 	sequence atomic.Uint64
 	mu       sync.Mutex
 	queues   map[core.ServiceName]*admitter.Queue[*Dispatch]
-	members  []tracker.Member
-	viewed   time.Time
+	// near and far are the live members of this region and of the others.
+	near   []tracker.Member
+	far    []tracker.Member
+	viewed time.Time
 }
 
 // viewAge is how long a sorted membership view is used.
-const viewAge = 20 * time.Millisecond
+const viewAge = 50 * time.Millisecond
 
 // nextAttempt returns an attempt id that no other life uses.
 func (r *Dispatcher) nextAttempt() core.AttemptID {
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -170,17 +170,22 @@
 
 // Receive takes in records of other hosts.
 func (s *Steerer) Receive(records []tracker.Record, now time.Time) {
-	news := false
+	newest := tracker.Old
 	for _, r := range records {
-		if s.Tracker.Observe(r, now) {
-			news = true
+		news := s.Tracker.Observe(r, now)
+		newest = max(newest, news)
+		if news != tracker.Old {
 			s.mu.Lock()
 			s.confirmation.Hear(r.Host.Zone.Name, now)
 			s.mu.Unlock()
 		}
 	}
-	if news {
+	switch newest {
+	case tracker.Changed:
 		s.Tick(now)
+	case tracker.Fresh:
+		s.Dispatcher.PumpAll(now)
+	default:
 	}
 }
 
--- a/core/tracker/tracker.go
+++ b/core/tracker/tracker.go
@@ -73,22 +73,37 @@
 	members map[core.HostName]*Member
 }
 
-// Observe takes in a record and reports whether it is news.
-func (t *Tracker) Observe(record Record, now time.Time) bool {
+// News is what a record told.
+type News uint8
+
+// The kinds of news. Changed means that roles may move.
+const (
+	Old News = iota
+	Fresh
+	Changed
+)
+
+// Observe takes in a record and tells whether it is news.
+func (t *Tracker) Observe(record Record, now time.Time) News {
 	if record.Host.Name == t.Self.Name {
-		return false
+		return Old
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.members[record.Host.Name]
 	if known != nil && !t.isNews(known, record, now) {
-		return false
+		return Old
+	}
+	news := Fresh
+	if known == nil || known.Host != record.Host || known.Phase != record.Phase || t.isExpired(known, now) ||
+		len(record.Held) > 0 || len(known.Held) > 0 {
+		news = Changed
 	}
 	if t.members == nil {
 		t.members = map[core.HostName]*Member{}
 	}
 	t.members[record.Host.Name] = &Member{Record: record, Heard: now}
-	return true
+	return news
 }
 
 // isNews reports whether the record is newer than what is known. Another
