--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -57,71 +57,6 @@
 	staleAfter = 5 * time.Second
 )
 
-// State is what the owner knows of one upstream.
-type State struct {
-	core.Upstream
-	InFlight int
-	// Limit is the number of slots in use now, at most Upstream.Slots.
-	Limit int
-	// Mean is the running mean of service times; 0 before the first.
-	Mean time.Duration
-	// Measured is when Mean last changed.
-	Measured time.Time
-	// Reported is the load that the upstream itself reports, 0 to 1.
-	Reported float64
-	// Leaving is the upstream's own word that it drains.
-	Leaving bool
-	// Listed says that the platform's list shows it as leaving.
-	Listed bool
-	// Elsewhere is the number of requests of earlier owners that still run.
-	Elsewhere int
-	// Checked is when the upstream was last asked for its report, whether or
-	// not it answered.
-	Checked time.Time
-	// EjectedUntil is in the past for an upstream in good standing.
-	EjectedUntil time.Time
-
-	owned bool
-	// abandoned holds until when attempts that got no answer may still run.
-	abandoned []time.Time
-	rampedAt  time.Time
-	failing   float64
-	ejections int
-	picked    uint64
-}
-
-// Free returns the number of free slots.
-func (s *State) Free() int {
-	return max(0, s.Limit-s.InFlight-s.Elsewhere-len(s.abandoned))
-}
-
-// expire forgets abandoned attempts that have ended by now.
-func (s *State) expire(now time.Time) {
-	s.abandoned = slices.DeleteFunc(s.abandoned, func(until time.Time) bool { return !now.Before(until) })
-}
-
-// Result is what became of an attempt.
-type Result struct {
-	State core.RunState
-	// Duration is the time between sending and the whole answer.
-	Duration time.Duration
-	// Shed says that the upstream refused for lack of room.
-	Shed bool
-	// Stale says that a connection used before brought no answer, which is no
-	// evidence against the upstream.
-	Stale bool
-	// Cancelled says that the attempt ended for the caller's reasons.
-	Cancelled bool
-}
-
-// Demand is what an acquisition asks for.
-type Demand struct {
-	// Reserve is the number of slots that must stay free.
-	Reserve int
-	// Exclude lists upstreams that were already tried.
-	Exclude []core.UpstreamName
-}
-
 // Table holds the upstreams that this host owns, and those it gave away while
 // their last requests run.
 type Table struct {
@@ -217,13 +152,6 @@
 // maxCandidates is the number of candidates held without an allocation.
 const maxCandidates = 32
 
-// isUsable reports whether an upstream may get new work. One that was not asked
-// for its report recently may be leaving without this host's knowledge: it is
-// new to this host, or the host was paused.
-func (s *State) isUsable(now time.Time) bool {
-	return now.Sub(s.Checked) <= checkedWithin && !s.Leaving && !s.Listed && !s.Draining && !now.Before(s.EjectedUntil)
-}
-
 // ramp grows a limited upstream by one slot a step.
 func (t *Table) ramp(s *State, now time.Time) {
 	s.expire(now)
@@ -239,96 +167,6 @@
 	s.rampedAt = now
 }
 
-// Release gives a slot back and takes in what became of the attempt.
-func (t *Table) Release(name core.UpstreamName, result Result, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.states[name]
-	if s == nil {
-		return
-	}
-	s.InFlight--
-	t.judge(s, result, now)
-	if !s.owned && s.InFlight == 0 {
-		delete(t.states, name)
-	}
-}
-
-func (t *Table) judge(s *State, result Result, now time.Time) {
-	switch {
-	case result.Cancelled:
-	case result.Stale:
-		s.abandon(now)
-	case result.Shed:
-		s.Limit = max(1, min(s.Limit, s.InFlight))
-		s.rampedAt = now
-	case result.State == core.Answered:
-		s.failing *= 1 - failureSmoothing
-		if s.failing < forgiveBelow {
-			s.ejections = 0
-		}
-		s.measure(result.Duration, now)
-	default:
-		s.failing += failureSmoothing * (1 - s.failing)
-		if result.State == core.RunUnknown {
-			s.abandon(now)
-		}
-		t.eject(s, now)
-	}
-}
-
-// abandon keeps the slot of an attempt without an answer for as long as the
-// upstream may still run it.
-func (s *State) abandon(now time.Time) {
-	s.abandoned = append(s.abandoned, now.Add(abandonFactor*s.Mean))
-}
-
-// Patience returns how long to wait for an answer before another attempt may
-// be worth it; 0 means that nothing is known.
-func (t *Table) Patience(name core.UpstreamName) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.states[name]
-	if s == nil || s.Mean == 0 {
-		return 0
-	}
-	return max(patienceLeast, patienceFactor*s.Mean)
-}
-
-// measure takes in a service time.
-func (s *State) measure(d time.Duration, now time.Time) {
-	if s.Mean == 0 || now.Sub(s.Measured) > staleAfter {
-		s.Mean = d
-	} else {
-		s.Mean += time.Duration(smoothing * float64(d-s.Mean))
-	}
-	s.Measured = now
-}
-
-// eject takes an upstream out after repeated failures, up to half of its
-// service.
-func (t *Table) eject(s *State, now time.Time) {
-	if s.failing < ejectAbove {
-		return
-	}
-	list := t.byName[s.Service]
-	ejected := 0
-	for _, o := range list {
-		if o != s && now.Before(o.EjectedUntil) {
-			ejected++
-		}
-	}
-	if (ejected+1)*2 > len(list) {
-		return
-	}
-	pause := min(ejectMost, ejectBase<<min(s.ejections, 5))
-	s.ejections++
-	s.failing = 0
-	s.EjectedUntil = now.Add(pause)
-	s.Limit = 1
-	s.rampedAt = s.EjectedUntil
-}
-
 // SetReport takes in what an upstream says of itself.
 func (t *Table) SetReport(name core.UpstreamName, load float64, leaving bool, now time.Time) {
 	t.mu.Lock()
--- a/core/steerer/steerer_bench_test.go
+++ b/core/steerer/steerer_bench_test.go
@@ -185,3 +185,21 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkLetters reports the bytes of records that a relay and another host
+// send in a second.
+func BenchmarkLetters(b *testing.B) {
+	for _, size := range sizes {
+		s := fleet(size[0], size[1], 0)
+		b.Run(fmt.Sprintf("hosts=%d", size[0]), func(b *testing.B) {
+			records := 0
+			for range b.N {
+				for _, l := range s.Letters(now) {
+					records += len(l.Records)
+				}
+			}
+			b.ReportMetric(float64(records)/float64(b.N)*float64(time.Second/steerer.Heartbeat), "records/s")
+			b.ReportMetric(map[bool]float64{true: 1}[s.IsRelay(now)], "relay")
+		})
+	}
+}
