Give requests of other regions only slots whose count is certain

Cause: after the crash of a host its upstreams still run its requests; a request of another region could meet a full upstream at the new owner. Change: requests of clients in other regions use upstreams that their owner has held for a while and that have no attempt without an answer, and wait in a queue behind the region's own.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -46,6 +46,10 @@
 	// checkedWithin is how recently an upstream must have been asked for its
 	// report.
 	checkedWithin = 2 * time.Second
+	// certainAfter, and certainFactor times the mean service time, is how long
+	// after a takeover requests of the former owner may still run.
+	certainAfter  = time.Second
+	certainFactor = 4
 	// abandonFactor times the mean service time is how long an attempt without
 	// an answer is believed to run on.
 	abandonFactor = 2
@@ -90,6 +94,11 @@
 	for _, u := range upstreams {
 		t.own(u, now)
 	}
+	for _, s := range t.states {
+		if !s.owned {
+			s.ownedAt = time.Time{}
+		}
+	}
 	t.index()
 }
 
@@ -99,6 +108,9 @@
 		s = &State{Upstream: u, Limit: max(1, u.Slots/2), rampedAt: now}
 		t.states[u.Name] = s
 	}
+	if s.ownedAt.IsZero() {
+		s.ownedAt = now
+	}
 	s.Limit = min(s.Limit, u.Slots)
 	s.Upstream = u
 	s.owned = true
@@ -131,7 +143,7 @@
 	free := 0
 	for _, s := range list {
 		t.ramp(s, now)
-		if !s.isUsable(now) {
+		if !s.isUsable(now) || (demand.OnlyCertain && !s.isCertain(now)) {
 			continue
 		}
 		free += s.Free()
--- a/core/balancer/state.go
+++ b/core/balancer/state.go
@@ -31,7 +31,8 @@
 	// EjectedUntil is in the past for an upstream in good standing.
 	EjectedUntil time.Time
 
-	owned bool
+	owned   bool
+	ownedAt time.Time
 	// abandoned holds until when attempts that got no answer may still run.
 	abandoned []time.Time
 	rampedAt  time.Time
@@ -70,6 +71,8 @@
 	Reserve int
 	// Exclude lists upstreams that were already tried.
 	Exclude []core.UpstreamName
+	// OnlyCertain leaves out upstreams that may run more than this host knows.
+	OnlyCertain bool
 }
 
 // isUsable reports whether an upstream may get new work. One that was not asked
@@ -85,6 +88,12 @@
 	s.abandoned = append(s.abandoned, now.Add(abandonFactor*s.Mean))
 }
 
+// isCertain reports whether this host knows of all work of the upstream: it has
+// owned it for a while and no attempt is without an answer.
+func (s *State) isCertain(now time.Time) bool {
+	return now.Sub(s.ownedAt) > certainAfter+certainFactor*s.Mean && s.Limit >= s.Slots && len(s.abandoned) == 0
+}
+
 // measure takes in a service time.
 func (s *State) measure(d time.Duration, now time.Time) {
 	if s.Mean == 0 || now.Sub(s.Measured) > staleAfter {
--- a/core/dispatcher/chooser.go
+++ b/core/dispatcher/chooser.go
@@ -52,7 +52,7 @@
 }
 
 func (r *Dispatcher) chooseLocal(d *Dispatch, reserve int, now time.Time) (grant, bool) {
-	demand := balancer.Demand{Reserve: reserve, Exclude: d.excluded}
+	demand := balancer.Demand{Reserve: reserve, Exclude: d.excluded, OnlyCertain: d.isForeign()}
 	upstream, ok := r.Balancer.Acquire(d.request.Service, demand, now)
 	return grant{upstream: upstream}, ok
 }
@@ -144,7 +144,7 @@
 func (r *Dispatcher) mayLeaveRegion(d *Dispatch, m tracker.Member, now time.Time) bool {
 	summary := r.Balancer.Summarize(d.request.Service, now)
 	if summary.Total > 0 {
-		waiting := r.queue(d.request.Service).Len()
+		waiting := r.queue(d.request.Service, d.isForeign()).Len()
 		wait := time.Duration(waiting+1) * summary.Mean / time.Duration(summary.Total)
 		if summary.Free > 0 || wait < r.RoundTrip(m.Host) {
 			return false
@@ -217,7 +217,7 @@
 	summary := r.Balancer.Summarize(service, now)
 	best, bestCost, ok := r.bestPeer(probe, summary.Free > 0, now)
 	switch {
-	case r.queue(service).Len() > 0:
+	case r.queue(service, false).Len() > 0:
 		return "wait in the queue of this host"
 	case ok && (summary.Free == 0 || bestCost < (1-switchGain)*r.localCost(summary)):
 		return "hand over to " + string(best.Host.Name)
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -86,13 +87,19 @@
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
-	queues   map[core.ServiceName]*admitter.Queue[*Dispatch]
+	queues   map[queueKey]*admitter.Queue[*Dispatch]
 	// near and far are the live members of this region and of the others.
 	near   []tracker.Member
 	far    []tracker.Member
 	viewed time.Time
 }
 
+// queueKey names a queue: requests of clients of other regions wait apart.
+type queueKey struct {
+	service   core.ServiceName
+	isForeign bool
+}
+
 // viewAge is how long a sorted membership view is used.
 const viewAge = 50 * time.Millisecond
 
@@ -108,16 +115,17 @@
 }
 
 // queue returns the queue of a service. The caller holds mu.
-func (r *Dispatcher) queue(service core.ServiceName) *admitter.Queue[*Dispatch] {
-	q := r.queues[service]
+func (r *Dispatcher) queue(service core.ServiceName, isForeign bool) *admitter.Queue[*Dispatch] {
+	key := queueKey{service: service, isForeign: isForeign}
+	q := r.queues[key]
 	if q != nil {
 		return q
 	}
 	if r.queues == nil {
-		r.queues = map[core.ServiceName]*admitter.Queue[*Dispatch]{}
+		r.queues = map[queueKey]*admitter.Queue[*Dispatch]{}
 	}
 	q = &admitter.Queue[*Dispatch]{Target: queueTarget, Interval: queueInterval, Limit: queueLimit}
-	r.queues[service] = q
+	r.queues[key] = q
 	return q
 }
 
@@ -125,15 +133,20 @@
 func (r *Dispatcher) Waiting(service core.ServiceName) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue(service).Len()
+	return r.queue(service, false).Len() + r.queue(service, true).Len()
 }
 
-// Pump grants free slots, here and at other hosts, to requests that wait. Call
-// it whenever slots may have become free.
+// Pump grants free slots, here and at other hosts, to requests that wait, those
+// of this region's clients first. Call it whenever slots may have become free.
 func (r *Dispatcher) Pump(service core.ServiceName, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	q := r.queue(service)
+	r.pump(r.queue(service, false), now)
+	r.pump(r.queue(service, true), now)
+}
+
+// pump grants free slots to the requests of one queue. The caller holds mu.
+func (r *Dispatcher) pump(q *admitter.Queue[*Dispatch], now time.Time) {
 	for {
 		d, ok := q.Peek()
 		if !ok {
@@ -155,9 +168,9 @@
 func (r *Dispatcher) PumpAll(now time.Time) {
 	r.mu.Lock()
 	names := make([]core.ServiceName, 0, len(r.queues))
-	for n, q := range r.queues {
-		if q.Len() > 0 {
-			names = append(names, n)
+	for k, q := range r.queues {
+		if q.Len() > 0 && !slices.Contains(names, k.service) {
+			names = append(names, k.service)
 		}
 	}
 	r.mu.Unlock()
--- a/core/dispatcher/waiter.go
+++ b/core/dispatcher/waiter.go
@@ -19,7 +19,7 @@
 	if !d.granted.isEmpty() {
 		return d.start()
 	}
-	q := r.queue(d.request.Service)
+	q := r.queue(d.request.Service, d.isForeign())
 	if d.isQueued {
 		if q.IsStanding(now) && now.Sub(d.queuedAt) >= q.Target {
 			return d.giveUp(core.RefusalOverload, "all upstreams are busy", now)
@@ -42,6 +42,14 @@
 	return d.enqueue(q, now)
 }
 
+// isForeign reports whether the client is in another region. Its request goes
+// only where the count of used slots is certain, and waits behind the region's
+// own, so that a shift of traffic does not overload this region.
+func (d *Dispatch) isForeign() bool {
+	region := d.shared.Configuration().RegionOf(d.request.Client)
+	return region != "" && region != d.shared.Self.Zone.Region
+}
+
 // enqueue waits for a slot. Whoever was tried before may be tried again after
 // the wait. The caller holds Dispatcher.mu.
 func (d *Dispatch) enqueue(q *admitter.Queue[*Dispatch], now time.Time) Step {
@@ -91,7 +99,7 @@
 // The caller holds Dispatcher.mu.
 func (d *Dispatch) leaveQueue(now time.Time) {
 	if d.isQueued {
-		d.shared.queue(d.request.Service).Remove(d, now)
+		d.shared.queue(d.request.Service, d.isForeign()).Remove(d, now)
 		d.isQueued = false
 	}
 	if d.granted.upstream.Name != "" {
