Name silent peers in the log; clients try the hosts of one answer in order

Cause: a client whose host was frozen could pick the same host for its second send; silence of a peer was logged as a rejected message. Change: a client walks one answer's hosts; silence has its event; nonces are unique.

--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -81,7 +81,7 @@
 	w.random = t
 	o := &order{service: serviceOrder}
 	to := pick(t, w.acting(), "host")
-	key := w.drawKey(t, to, o)
+	key := w.drawKey(t, to)
 	w.orders = append(w.orders, o)
 	w.sendOrder(o, to, key, 0, drawSize(t))
 }
@@ -91,11 +91,11 @@
 }
 
 // drawKey draws a home-bound key from a route answer, or a client's own.
-func (w *world) drawKey(t *rapid.T, asked *node, o *order) core.Key {
-	nonce := strconv.Itoa(len(w.orders)) + "-" + strconv.Itoa(len(o.sends))
+func (w *world) drawKey(t *rapid.T, asked *node) core.Key {
+	w.serial++
+	nonce := strconv.Itoa(w.serial)
 	if rapid.IntRange(0, 3).Draw(t, "own-key") == 0 {
-		w.serial++
-		return core.Key{Text: "own-" + strconv.Itoa(w.serial)}
+		return core.Key{Text: "own-" + nonce}
 	}
 	query := router.Query{Service: serviceOrder, Zone: asked.steerer.Self.Zone}
 	route := asked.steerer.Router.Route(query, 1, asked.now())
@@ -122,7 +122,7 @@
 	to := pick(t, w.acting(), "host")
 	last := o.sends[len(o.sends)-1]
 	if o.isRefused() {
-		w.sendOrder(o, to, w.drawKey(t, to, o), 0, len(last.request.Body))
+		w.sendOrder(o, to, w.drawKey(t, to), 0, len(last.request.Body))
 		return
 	}
 	w.sendOrder(o, to, last.request.Key, last.request.Ordinal+1, len(last.request.Body))
--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -41,6 +41,9 @@
 	// and for what may be repeated.
 	patienceFactor = 8
 	patienceLeast  = 400 * time.Millisecond
+	// sendsPerRoute is how many hosts of one answer are tried in order before
+	// the newest answer is read again.
+	sendsPerRoute = 3
 	// maxSends bounds how often one request is sent.
 	maxSends = 6
 )
@@ -244,6 +247,7 @@
 	home     string
 	ordinal  int
 	sends    int
+	targets  []router.Target
 	// lost says that some send brought no answer; cut that a connection ended.
 	lost bool
 	cut  bool
@@ -262,7 +266,10 @@
 func (e *exchange) run() Result {
 	last := Result{Verdict: Refused, Kind: "no-host"}
 	for e.sends < maxSends {
-		targets := e.client.route(e.call.Service.Name)
+		if e.sends%sendsPerRoute == 0 {
+			e.targets = e.client.route(e.call.Service.Name)
+		}
+		targets := e.targets
 		if len(targets) == 0 || time.Now().After(e.deadline) {
 			return last
 		}
--- a/entry/messenger/call.go
+++ b/entry/messenger/call.go
@@ -78,7 +78,7 @@
 		kind, err := reader.ReadByte()
 		if err != nil {
 			if isTimeout(err) && time.Now().Before(deadline) {
-				m.fault(string(to.Name), "silent connection")
+				m.silent(to)
 				m.retire(to.PeerAddress, l)
 			}
 			return Reply{}, err
@@ -281,6 +281,13 @@
 	l.close()
 }
 
+// silent reports that a connection to a host is replaced after silence.
+func (m *Messenger) silent(to core.Host) {
+	if m.OnSilent != nil {
+		m.OnSilent(to)
+	}
+}
+
 // retire makes the next use open a new connection and closes this one later:
 // other calls on it may only be slow.
 func (m *Messenger) retire(address string, l *link) {
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -85,6 +85,9 @@
 	Handle func(ctx context.Context, call Call) Reply
 	// OnFault gets what was wrong with a peer; nil ignores it.
 	OnFault func(peer, fault string)
+	// OnSilent is told of a connection that is replaced after silence; nil
+	// ignores it.
+	OnSilent func(to core.Host)
 	// OnBytes counts control bytes by direction; nil ignores them.
 	OnBytes func(direction string, n int)
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -193,6 +193,9 @@
 		OnFault: func(peer, fault string) {
 			s.log.Event(logger.PeerRejected).Str("peer", peer).Str("fault", fault).Send()
 		},
+		OnSilent: func(to core.Host) {
+			s.log.Event(logger.PeerSilent).Str("peer", string(to.Name)).Send()
+		},
 		OnBytes: func(direction string, n int) { s.counters.Control.Add(direction, int64(n)) },
 	}
 	return nil
