--- a/core/dispatcher/gate.go
+++ b/core/dispatcher/gate.go
@@ -88,8 +88,6 @@
 	key := d.request.Key
 	age := now.Sub(key.Minted)
 	switch {
-	case key.Home == d.shared.Self.Life() && age > KeyLife:
-		d.neverRunIfFirst(core.RefusalKeyExpired, "the key is too old")
 	case key.Home == d.shared.Self.Life() && age < -futureLimit:
 		d.refuse(core.RefusalKeyInvalid, "the key's minting second is in the future")
 	case key.Home == d.shared.Self.Life():
@@ -117,7 +115,7 @@
 // neverRunIfFirst refuses a request that this system has not run if this is
 // the client's first use of the key; a re-sent one may have been run before.
 func (d *Dispatch) neverRunIfFirst(kind core.RefusalKind, detail string) {
-	if d.request.Ordinal == 0 && d.request.Key.IsHomeBound() {
+	if d.request.Ordinal == 0 && d.request.Key.IsHomeBound() && !d.mayHaveRun {
 		d.refuse(kind, detail+"; take a new key")
 		return
 	}
@@ -131,6 +129,11 @@
 		return d.expect(Step{Kind: StepHome, Host: d.home, Attempt: d.shared.nextAttempt(), Until: d.request.Deadline}), true
 	}
 	key := d.request.Key
+	if key.IsHomeBound() && now.Sub(key.Minted) > KeyLife {
+		// The key may have ended, and been forgotten, while this send waited.
+		d.neverRunIfFirst(core.RefusalKeyExpired, "the key is too old")
+		return Step{}, false
+	}
 	expiry := now.Add(deduplicator.ClaimLife + keyMargin)
 	if key.IsHomeBound() {
 		expiry = key.Minted.Add(KeyLife + keyMargin)
