--- a/core/simulator/world_test.go
+++ b/core/simulator/world_test.go
@@ -36,6 +36,8 @@
 	upstreamSlots = 3
 	linkCap       = 8 * core.Megabit
 	maxSkew       = time.Hour
+	// earnedBefore is the number of earlier requests that fill the retry budget.
+	earnedBefore = 100
 )
 
 // world is the simulated site.
@@ -151,6 +153,9 @@
 	}
 	n.steerer = &steerer.Steerer{Self: self, RoundTrip: n.roundTrip, Policy: balancer.LeastExpected}
 	n.steerer.Init(n.now())
+	for range earnedBefore {
+		n.steerer.Budget.Earn()
+	}
 	port := w.store.port(n)
 	n.keeper = &limiter.Keeper{
 		Life: self.Life(), Store: port, Links: n.steerer.Links, Now: n.now,
