Start faults and hosts of the demo in one place each; remove what nothing uses

Cause: every fault repeated the wait before it, crash and restart repeated the start of another life; two refusal kinds, the charge for framing and a counter had no caller, and the daemon had its own joining of errors.

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -46,17 +46,6 @@
 // ChunkSize is the largest amount that is charged at once.
 const ChunkSize = 16 * core.Kibibyte
 
-// Overhead of framing, encryption and acknowledgements on a link.
-const (
-	overheadFactor = 1.06
-	overheadFixed  = 200
-)
-
-// WireBytes returns what n bytes of a message are charged as.
-func WireBytes(n core.Bytes) core.Bytes {
-	return core.Bytes(float64(n)*overheadFactor) + overheadFixed
-}
-
 // Links holds one host's shares of the links out of its region.
 type Links struct {
 	// Region is the region that the host sends from.
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -8,7 +8,6 @@
 // The refusal kinds. docs/API.md describes each for clients.
 const (
 	RefusalOverload       RefusalKind = "overload"
-	RefusalNoUpstream     RefusalKind = "no-upstream"
 	RefusalDeadline       RefusalKind = "deadline"
 	RefusalUnknownService RefusalKind = "unknown-service"
 	RefusalBadRequest     RefusalKind = "bad-request"
@@ -18,7 +17,6 @@
 	RefusalKeyExpired     RefusalKind = "key-expired"
 	RefusalKeyReused      RefusalKind = "key-reused"
 	RefusalStaleHome      RefusalKind = "stale-home"
-	RefusalLinkLimit      RefusalKind = "link-limit"
 	RefusalStopping       RefusalKind = "stopping"
 	RefusalNotReady       RefusalKind = "not-ready"
 	RefusalPlatform       RefusalKind = "platform-unavailable"
--- a/demo/runner/drive.go
+++ b/demo/runner/drive.go
@@ -158,7 +158,6 @@
 	case driver.Refused:
 		r.refused = append(r.refused, refusal{call: call, result: result})
 	case driver.Unknown:
-		r.unknowns++
 		if !call.Service.Repeatable {
 			r.expected++
 		}
--- a/demo/runner/fault.go
+++ b/demo/runner/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sourcegraph/conc/pool"
 )
@@ -17,22 +18,24 @@
 	name string
 	// inject brings the fault about and returns when it is over.
 	inject func(ctx context.Context, r *Runner) error
+	// fromStart says that it lasts for the whole run.
+	fromStart bool
 }
 
 // faults lists all faults but FaultNone.
 var faults = []fault{
-	{"host-crash", hostCrash},
-	{"host-pause", hostPause},
-	{"zone-cut", zoneCut},
-	{"platform-down", platformDown},
-	{"platform-slow", platformSlow},
-	{"platform-lost-answers", platformLostAnswers},
-	{"region-loss", regionLoss},
-	{"silent-connections", silentConnections},
-	{"crossed-answers", crossedAnswers},
-	{"upstream-drain", upstreamDrain},
-	{"rolling-restart", rollingRestart},
-	{"ticket-race", ticketRace},
+	{name: "host-crash", inject: hostCrash},
+	{name: "host-pause", inject: hostPause},
+	{name: "zone-cut", inject: zoneCut},
+	{name: "platform-down", inject: platformDown},
+	{name: "platform-slow", inject: platformSlow},
+	{name: "platform-lost-answers", inject: platformLostAnswers, fromStart: true},
+	{name: "region-loss", inject: regionLoss},
+	{name: "silent-connections", inject: silentConnections},
+	{name: "crossed-answers", inject: crossedAnswers},
+	{name: "upstream-drain", inject: upstreamDrain},
+	{name: "rolling-restart", inject: rollingRestart},
+	{name: "ticket-race", inject: ticketRace},
 }
 
 // FaultNames returns the names of all faults.
@@ -60,9 +63,17 @@
 	for _, part := range strings.Split(r.Fault, "+") {
 		for _, f := range faults {
 			if f.name == part {
-				workers.Go(func() error { return f.inject(ctx, r) })
+				workers.Go(func() error { return r.bring(ctx, f) })
 			}
 		}
 	}
 	return workers.Wait()
 }
+
+// bring brings about one fault once the load has run for a while.
+func (r *Runner) bring(ctx context.Context, f fault) error {
+	if !f.fromStart && !sleepUntil(ctx, time.Now().Add(r.For/3)) {
+		return nil
+	}
+	return f.inject(ctx, r)
+}
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -69,7 +69,6 @@
 	mu       sync.Mutex
 	refused  []refusal
 	once     []string
-	unknowns int
 	notes    []string
 	drain    time.Duration
 	ticket   time.Duration
--- a/demo/runner/scenario.go
+++ b/demo/runner/scenario.go
@@ -26,11 +26,6 @@
 	drainWait = 8 * time.Second
 )
 
-// begin waits until the load has run for a while.
-func (r *Runner) begin(ctx context.Context) bool {
-	return sleepUntil(ctx, time.Now().Add(r.For/3))
-}
-
 // last waits for the length of a fault.
 func last(ctx context.Context) {
 	sleepUntil(ctx, time.Now().Add(faultTime))
@@ -38,9 +33,6 @@
 
 // hostCrash ends an entry host at once and replaces it later.
 func hostCrash(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	r.crash(0)
 	sleepUntil(ctx, time.Now().Add(replaceTime))
 	return r.replace(0)
@@ -59,30 +51,34 @@
 func (r *Runner) replace(i int) error {
 	old := r.hosts[i]
 	old.stop()
-	r.mu.Lock()
-	delete(r.inForce, old.Name)
-	r.mu.Unlock()
 	select {
 	case err := <-old.done:
 		r.note(fmt.Sprintf("%s ended: %v", old.Name, err))
 	case <-time.After(2 * stopTimeout):
 		return fmt.Errorf("%s did not end", old.Name)
 	}
+	_, err := r.startAgain(i)
+	return err
+}
+
+// startAgain starts another life of host i, which has ended.
+func (r *Runner) startAgain(i int) (*host, error) {
+	old := r.hosts[i]
+	r.mu.Lock()
+	delete(r.inForce, old.Name)
+	r.mu.Unlock()
 	started, err := r.startHost(old.Host)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.hosts[i] = started
-	r.mu.Unlock()
-	return nil
+	return started, nil
 }
 
 // hostPause freezes an entry host for longer than its peers wait for it.
 func hostPause(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	frozen := r.hosts[1]
 	frozen.sockets.Freeze(true)
 	r.setStopping(frozen, true)
@@ -101,9 +97,6 @@
 
 // zoneCut cuts an availability zone off from all others and the platform.
 func zoneCut(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	zones := r.Deployment.Zones()
 	lost := zones[3].Name
 	for _, z := range zones {
@@ -120,9 +113,6 @@
 
 // platformDown makes the platform's store answer nothing.
 func platformDown(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	r.archiver.SetDown(true)
 	last(ctx)
 	r.archiver.SetDown(false)
@@ -131,9 +121,6 @@
 
 // platformSlow delays all answers of the platform's store.
 func platformSlow(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	r.archiver.SetSlow(slowness)
 	last(ctx)
 	r.archiver.SetSlow(0)
@@ -147,10 +134,7 @@
 }
 
 // regionLoss ends all hosts and upstreams of a region for good.
-func regionLoss(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
+func regionLoss(_ context.Context, r *Runner) error {
 	lost := r.Deployment.Regions[2]
 	for i, h := range r.hosts {
 		if h.Zone.Region == lost {
@@ -167,9 +151,6 @@
 
 // silentConnections makes all open connections go silent, twice.
 func silentConnections(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	r.emulator.Silence(time.Now())
 	sleepUntil(ctx, time.Now().Add(faultTime/2))
 	r.emulator.Silence(time.Now())
@@ -179,9 +160,6 @@
 // crossedAnswers makes upstreams of every service give crossed, truncated and
 // late answers for a part of the requests.
 func crossedAnswers(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	kinds := []responder.Misbehaviour{{Crossed: true, Share: 0.2}, {Truncated: true, Share: 0.2}, {Late: true, Share: 0.1}}
 	var bad []*upstream
 	for i, u := range r.upstreams {
@@ -200,9 +178,6 @@
 // upstreamDrain drains three upstreams, each announced by another source, and
 // measures how long the slowest takes until it is empty.
 func upstreamDrain(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	own, ticket, listed := r.upstreams[0], r.upstreams[1], r.upstreams[2]
 	start := time.Now()
 	own.SetDraining(true, start)
@@ -243,9 +218,6 @@
 // rollingRestart stops every host as planned and starts it again, one of each
 // second zone at a time.
 func rollingRestart(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	waves := len(r.hosts) / 2
 	for wave := range waves {
 		workers := pool.New().WithErrors()
@@ -276,15 +248,11 @@
 	}
 	r.mu.Lock()
 	r.drain = max(r.drain, time.Since(start))
-	delete(r.inForce, old.Name)
 	r.mu.Unlock()
-	started, err := r.startHost(old.Host)
+	started, err := r.startAgain(i)
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	r.hosts[i] = started
-	r.mu.Unlock()
 	deadline := time.Now().Add(readyTimeout)
 	for !r.isInForce(1, []*host{started}) {
 		if time.Now().After(deadline) || ctx.Err() != nil {
@@ -301,9 +269,6 @@
 // ticketRace lets two operators apply different tickets under the same number
 // at the same time.
 func ticketRace(ctx context.Context, r *Runner) error {
-	if !r.begin(ctx) {
-		return nil
-	}
 	for round := range raceRounds {
 		number := r.nextNumber()
 		hosts := r.running()
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"io"
 	"net"
@@ -124,16 +125,7 @@
 	group.Wait()
 	s.caller.Close()
 	s.log.Event(logger.HostStopped).Send()
-	return firstError(err, s.tracer.Close(context.Background()))
-}
-
-func firstError(errs ...error) error {
-	for _, e := range errs {
-		if e != nil {
-			return e
-		}
-	}
-	return nil
+	return errors.Join(err, s.tracer.Close(context.Background()))
 }
 
 // build makes all parts.
