Run health checks beside each other while the store is away

Cause: a round of checks waited for its slowest one (up to 0.5 s), so an upstream that became cold in an evacuation that no host could read was found only after the second in which its requests are bounded. Change: each upstream's check runs on its own; a cold upstream makes the host spare the rest of its zone until their checks end; no answer counts as cold; 0.3 s for a check. Tests fail without the change: silent upstreams more than are checked at a time, and a zone of which one upstream is known to be cold.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -304,11 +304,36 @@
 }
 
 // MarkCold takes what another host found: for how long an upstream stays cold.
-func (p *Placer) MarkCold(name core.UpstreamName, cold time.Duration, now time.Time) {
+// It returns the upstream and whether it was not known to be cold.
+func (p *Placer) MarkCold(name core.UpstreamName, cold time.Duration, now time.Time) (core.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u := p.upstreams[name]; u != nil {
-		u.coldUntil = later(u.coldUntil, now.Add(cold))
+	u := p.upstreams[name]
+	if u == nil {
+		return core.Upstream{}, false
+	}
+	isNews := !now.Before(u.coldUntil)
+	u.coldUntil = later(u.coldUntil, now.Add(cold))
+	return u.Upstream, isNews
+}
+
+// Suspect states that an upstream may be cold.
+func (p *Placer) Suspect(upstream core.Upstream, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.upstreams[upstream.Name]; u != nil && u.isSameLife(upstream) {
+		u.suspected = later(u.suspected, now)
+	}
+}
+
+// SuspectZone states that the upstreams of a zone may be cold.
+func (p *Placer) SuspectZone(zone core.ZoneName, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		if u.Zone == zone && !now.Before(u.coldUntil) {
+			u.suspected = later(u.suspected, now)
+		}
 	}
 }
 
--- a/entry/controller/check.go
+++ b/entry/controller/check.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/logger"
@@ -17,11 +16,13 @@
 	// checkEvery is the time between two looks for upstreams that may be cold.
 	checkEvery = 100 * time.Millisecond
 	// checkTimeout bounds one health check.
-	checkTimeout = 500 * time.Millisecond
+	checkTimeout = 300 * time.Millisecond
 	// nearEvery is the time between two checks of an upstream of the own region
 	// while the store is away. An upstream that becomes cold then is noticed
 	// within a fraction of the second in which its requests are bounded.
 	nearEvery = 250 * time.Millisecond
+	// askedFor is how long a check is remembered, longer than any warm-up.
+	askedFor = time.Minute
 )
 
 // coldList holds the upstreams that this host found cold.
@@ -64,7 +65,10 @@
 func (c *Controller) hear(beat roster.Heartbeat) {
 	now := time.Now()
 	for name, ms := range beat.Cold {
-		c.placer.MarkCold(name, time.Duration(ms)*time.Millisecond, now)
+		upstream, isNews := c.placer.MarkCold(name, time.Duration(ms)*time.Millisecond, now)
+		if isNews {
+			c.suspectZone(upstream, now)
+		}
 	}
 }
 
@@ -77,52 +81,70 @@
 		if policy == nil {
 			return
 		}
-		group := pool.New().WithMaxGoroutines(prepareWorkers)
+		maps.DeleteFunc(asked, func(_ core.UpstreamName, at time.Time) bool { return now.Sub(at) > askedFor })
 		for _, upstream := range c.placer.Suspects(now) {
 			service := policy.Services[upstream.Service]
 			if service.HealthPath == "" || now.Sub(asked[upstream.Name]) < service.WarmUp {
 				continue
 			}
-			asked[upstream.Name] = now
-			group.Go(func() { c.check(upstream, service.HealthPath) })
+			if c.prober.start(upstream.Name, func() { c.check(upstream, service.HealthPath) }) {
+				asked[upstream.Name] = now
+			}
 		}
-		group.Wait()
 	})
 }
 
-func (c *Controller) check(upstream core.Upstream, path string) {
+// check asks an upstream for how long it stays cold, and reports whether it
+// answered.
+func (c *Controller) check(upstream core.Upstream, path string) bool {
 	cold, err := c.exchanger.Check(upstream, path, checkTimeout)
 	if err != nil {
 		c.Log.Event(logger.CheckFailed).Str("upstream", string(upstream.Name)).Err(err).Send()
-		return
+		return false
 	}
 	now := time.Now()
 	c.placer.Confirm(upstream, cold, now)
-	if cold > 0 && c.cold.add(upstream.Name, now.Add(cold), now) {
-		c.Log.Event(logger.UpstreamCold).Str("upstream", string(upstream.Name)).Dur("left", cold).Send()
-		select {
-		case c.urgent <- struct{}{}:
-		default: // a heartbeat is due already
-		}
+	if cold <= 0 || !c.cold.add(upstream.Name, now.Add(cold), now) {
+		return true
+	}
+	c.Log.Event(logger.UpstreamCold).Str("upstream", string(upstream.Name)).Dur("left", cold).Send()
+	c.suspectZone(upstream, now)
+	select {
+	case c.urgent <- struct{}{}:
+	default: // a heartbeat is due already
+	}
+	return true
+}
+
+// suspectZone suspects the other upstreams of a zone in which one was found
+// cold while the store is away: a zone that was evacuated and taken back is
+// cold as a whole, and no news of it arrives then.
+func (c *Controller) suspectZone(found core.Upstream, now time.Time) {
+	if !c.contact.isConfirmed(now) {
+		c.placer.SuspectZone(found.Zone, now)
 	}
 }
 
 // checkNear asks the upstreams of the own region while the store is away, since
 // the host cannot learn then that a zone was evacuated and its upstreams became
-// cold. One host of the region asks each, and tells the others.
+// cold. One host of the region asks each, and tells the others. An upstream
+// that gives no answer counts as cold until one does.
 func (c *Controller) checkNear(ctx context.Context) {
 	waiter.Every(ctx, nearEvery, func(now time.Time) {
 		policy := c.policy.Load()
 		if policy == nil || c.contact.isConfirmed(now) {
 			return
 		}
-		group := pool.New().WithMaxGoroutines(prepareWorkers)
 		for _, upstream := range c.placer.Near(now) {
 			path := policy.Services[upstream.Service].HealthPath
-			if path != "" && c.roster.IsFirst(upstream.Name, now) {
-				group.Go(func() { c.check(upstream, path) })
+			if path == "" || !c.roster.IsFirst(upstream.Name, now) {
+				continue
 			}
+			c.prober.start(upstream.Name, func() {
+				if !c.check(upstream, path) {
+					c.placer.Suspect(upstream, time.Now())
+				}
+			})
 		}
-		group.Wait()
 	})
 }
--- a/entry/controller/check_test.go
+++ b/entry/controller/check_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 	return core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: listener.Addr().String(), Slots: 4}
 }
 
-func newController(name core.HostName, upstream core.Upstream) *Controller {
+func newController(name core.HostName, upstreams ...core.Upstream) *Controller {
 	zone := core.Zone{Name: "for-a", Region: "for"}
 	c := &Controller{
 		Self:           core.Host{Name: name, Zone: zone, Incarnation: 1, PeerAddress: "127.0.0.1:1"},
@@ -51,7 +52,7 @@
 			Version:  1,
 			Services: []core.ServicePolicy{{Name: "desk", HealthPath: "/health", WarmUp: 3 * time.Second, WarmUpRate: 17}},
 		},
-		Upstreams:   &replicator.Upstreams{Revision: 1, List: []core.Upstream{upstream}},
+		Upstreams:   &replicator.Upstreams{Revision: 1, List: upstreams},
 		Evacuations: &replicator.Evacuations{Revision: 1},
 		Hosts:       &replicator.Hosts{Revision: 1},
 	}, now)
@@ -105,3 +106,64 @@
 	later := now.Add(time.Minute)
 	is.True(first.IsFirst("u-1", later) && second.IsFirst("u-1", later))
 }
+
+// silentUpstream accepts connections and never answers.
+func silentUpstream(t *testing.T, name core.UpstreamName) core.Upstream {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return core.Upstream{Name: name, Service: "desk", Zone: "for-a", Address: listener.Addr().String(), Slots: 4}
+}
+
+// TestSilentUpstreamDelaysNoCheck is the pattern of an evacuation that hosts
+// cannot read, with upstreams whose slots are all taken: more silent upstreams
+// than are checked at a time must not delay the check of one that became cold.
+func TestSilentUpstreamDelaysNoCheck(t *testing.T) {
+	is := is.New(t)
+	upstreams := []core.Upstream{coldUpstream(t)}
+	for i := range prepareWorkers + 1 {
+		upstreams = append(upstreams, silentUpstream(t, core.UpstreamName("silent-"+strconv.Itoa(i))))
+	}
+	c := newController("host-1", upstreams...)
+	c.StoreFailed(core.ErrPlatform.New("away"), time.Now())
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.checkNear(ctx)
+	}()
+	<-c.urgent
+	// Found by the first round, whose silent checks have not ended.
+	is.True(c.prober.isPending("silent-0"))
+	stop()
+	<-done
+	c.prober.wait()
+}
+
+// TestColdZoneIsSuspected is the same pattern for the rest of the zone: what one
+// check finds spares all upstreams of the zone until their own checks end.
+func TestColdZoneIsSuspected(t *testing.T) {
+	is := is.New(t)
+	cold := coldUpstream(t)
+	second := cold
+	second.Name = "u-2"
+	c := newController("host-1", cold, second)
+	c.StoreFailed(core.ErrPlatform.New("away"), time.Now())
+	is.Equal(len(c.placer.Suspects(time.Now())), 0)
+	c.hear(roster.Heartbeat{Cold: map[core.UpstreamName]uint32{"u-1": 2500}})
+	names := map[core.UpstreamName]bool{}
+	for _, u := range c.placer.Suspects(time.Now()) {
+		names[u.Name] = true
+	}
+	is.True(names["u-2"])
+}
+
+// isPending reports whether a check of the upstream waits for its answer.
+func (p *prober) isPending(name core.UpstreamName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pending[name]
+}
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -106,6 +106,7 @@
 	isReady   atomic.Bool
 	contact   contact
 	cold      coldList
+	prober    prober
 	urgent    chan struct{}
 }
 
@@ -154,6 +155,7 @@
 	group.Go(func() { c.prepare(background) })
 	group.Go(func() { c.checkSuspects(background) })
 	group.Go(func() { c.checkNear(background) })
+	defer c.prober.wait()
 
 	serving, endServing := context.WithCancel(context.Background())
 	defer endServing()
