--- /dev/null
+++ b/core/roster/listing.go
@@ -0,0 +1,46 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// lapseAfter is how long a listed host must be silent before its registration
+// is removed. It is well above forgetAfter, so that the registration no longer
+// counts for anything by then.
+const lapseAfter = 2 * forgetAfter
+
+// listing is a registration and since when this host knows it.
+type listing struct {
+	host  core.Host
+	since time.Time
+}
+
+// Lapsed returns the listed hosts that have been silent for long and whose
+// registrations this host should remove: one live host does it for each. A host
+// that was only cut off registers again when it finds itself missing.
+func (r *Roster) Lapsed(now time.Time) []core.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lapsed []core.Host
+	for name, l := range r.listed {
+		if now.Sub(l.since) < lapseAfter || r.heardWithin(name, lapseAfter, now) {
+			continue
+		}
+		if r.isFirstOf(r.live(now), string(name)) {
+			lapsed = append(lapsed, l.host)
+		}
+	}
+	slices.SortFunc(lapsed, func(a, b core.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return lapsed
+}
+
+// heardWithin reports whether a host was heard lately. The caller holds
+// Roster.mu.
+func (r *Roster) heardWithin(name core.HostName, limit time.Duration, now time.Time) bool {
+	m := r.members[name]
+	return m != nil && !m.heard.IsZero() && now.Sub(m.heard) < limit
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -62,6 +62,8 @@
 	mu      sync.Mutex
 	isReady bool
 	members map[core.HostName]*member
+	// listed are the hosts that the store lists.
+	listed map[core.HostName]listing
 	// answers keeps lists for clients until a host comes, goes or changes.
 	answers map[string]answer
 }
@@ -98,15 +100,20 @@
 func (r *Roster) Register(hosts []core.Host, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	next := make(map[core.HostName]listing, len(hosts))
 	for _, h := range hosts {
 		if h.Name == r.Self.Name {
 			continue
 		}
-		m := r.at(h)
-		if m.known.IsZero() {
-			m.known = now
+		since := now
+		if l, ok := r.listed[h.Name]; ok && l.host == h {
+			since = l.since
 		}
+		next[h.Name] = listing{host: h, since: since}
+		m := r.at(h)
+		m.known = later(m.known, since)
 	}
+	r.listed = next
 	r.answers = nil
 	r.forget(now)
 }
@@ -155,6 +162,13 @@
 	return m
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (r *Roster) forget(now time.Time) {
 	for name, m := range r.members {
 		if now.Sub(m.known) > forgetAfter {
--- a/core/roster/turn.go
+++ b/core/roster/turn.go
@@ -33,17 +33,29 @@
 func (r *Roster) IsFirst(upstream core.UpstreamName, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := weigh(r.Self.Name, upstream)
+	var near []*member
 	for _, m := range r.live(now) {
-		if m.host.Zone.Region == r.Self.Zone.Region && weigh(m.host.Name, upstream) > own {
+		if m.host.Zone.Region == r.Self.Zone.Region {
+			near = append(near, m)
+		}
+	}
+	return r.isFirstOf(near, string(upstream))
+}
+
+// isFirstOf reports whether this host comes before the others for a task, by
+// rendezvous hash. The caller holds Roster.mu.
+func (r *Roster) isFirstOf(others []*member, task string) bool {
+	own := weigh(r.Self.Name, task)
+	for _, m := range others {
+		if weigh(m.host.Name, task) > own {
 			return false
 		}
 	}
 	return true
 }
 
-func weigh(host core.HostName, upstream core.UpstreamName) uint64 {
-	return xxhash.Sum64String(string(host) + "\x00" + string(upstream))
+func weigh(host core.HostName, task string) uint64 {
+	return xxhash.Sum64String(string(host) + "\x00" + task)
 }
 
 // turns returns in how many periods all hosts of the own region, and all of
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -220,6 +220,12 @@
 	return c.roster.Resolve(roster.Query{Zone: zone, Homes: c.homesOf(name), Max: limit}, now)
 }
 
+// LapsedHosts returns the registered hosts that are gone and whose registrations
+// this host should remove.
+func (c *Controller) LapsedHosts(now time.Time) []core.Host {
+	return c.roster.Lapsed(now)
+}
+
 // homesOf returns the regions that may take bodies of all requests to a host
 // name; empty means all.
 func (c *Controller) homesOf(name string) []core.RegionName {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -74,6 +74,7 @@
 	SettingsReloaded   = Event{105, "settings-reloaded", zerolog.InfoLevel, "The settings file was read again."}
 	ListenFailed       = Event{106, "listen-failed", zerolog.ErrorLevel, "An address of the host cannot be served."}
 	LinesLeftOut       = Event{108, "lines-left-out", zerolog.WarnLevel, "Lines of an event were more than the bound; they are counted here."}
+	HostRemoved        = Event{109, "host-removed", zerolog.InfoLevel, "The registration of a host that is gone was removed from the store."}
 	RegistrationFailed = Event{107, "registration-failed", zerolog.WarnLevel, "The host's entry in the store was not written."}
 )
 
@@ -88,7 +89,7 @@
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, CheckFailed, UpstreamCold,
 	PolicyApplied, PolicyUnreadable,
-	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut,
+	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved,
 }
 
 // Logger writes events of one host.
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -7,11 +7,13 @@
 //
 //	w := &watcher.Watcher[Object]{List: list, Watch: watch, Wait: 10 * time.Second, OnChange: apply}
 //	w.Run(ctx)
+//
+// Several watchers of one store share a Gate, so that an outage costs the calls
+// of one of them.
 package watcher
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -20,12 +22,6 @@
 	"github.com/endiverun/endiverun/entry/waiter"
 )
 
-const (
-	// minPause and maxPause bound the time between two failed calls.
-	minPause = 100 * time.Millisecond
-	maxPause = 800 * time.Millisecond
-)
-
 // List is all objects of a kind by name, as of a revision of the store.
 type List[T any] struct {
 	Objects  map[string]T
@@ -60,6 +56,8 @@
 	// OnChange gets all objects of the kind after each change, with the
 	// revision of the store that they reflect. The map belongs to the watcher.
 	OnChange func(objects map[string]T, revision uint64)
+	// Gate joins the watchers of one store; nil makes one of its own.
+	Gate *Gate
 	// OnAnswer and OnFailure are told of each answer and failure of the store.
 	OnAnswer  func()
 	OnFailure func(err error)
@@ -70,24 +68,33 @@
 
 // Run follows the kind until ctx ends.
 func (w *Watcher[T]) Run(ctx context.Context) {
-	pause := minPause
-	for ctx.Err() == nil {
-		err := w.step()
-		if err == nil {
-			w.OnAnswer()
-			pause = minPause
-			waiter.Sleep(ctx, w.Gather)
-			continue
-		}
-		if errorx.IsOfType(err, core.ErrHistoryGone) {
-			w.objects = nil
-			continue
+	if w.Gate == nil {
+		w.Gate = &Gate{}
+	}
+	for {
+		isAsking := w.Gate.enter(ctx)
+		if ctx.Err() != nil {
+			return
 		}
+		w.take(ctx, w.step(), isAsking)
+	}
+}
+
+// take takes the result of a call.
+func (w *Watcher[T]) take(ctx context.Context, err error, isAsking bool) {
+	switch {
+	case err == nil:
+		w.Gate.answered()
+		w.OnAnswer()
+		waiter.Sleep(ctx, w.Gather)
+	case errorx.IsOfType(err, core.ErrHistoryGone):
+		w.Gate.answered()
+		w.objects = nil
+	default:
+		w.Gate.failed(isAsking)
 		w.OnFailure(err)
 		// After a failure the next call is a list, which is answered at once.
 		w.objects = nil
-		waiter.Sleep(ctx, pause/2+rand.N(pause/2)) //nolint:gosec // No secret depends on it.
-		pause = min(2*pause, maxPause)
 	}
 }
 
--- /dev/null
+++ b/entry/watcher/watcher_test.go
@@ -0,0 +1,111 @@
+package watcher
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// outage is a store that fails until a time.
+type outage struct {
+	mu    sync.Mutex
+	until time.Time
+	calls int
+	// listed counts the lists that were answered.
+	listed int
+}
+
+func (o *outage) call() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if time.Now().Before(o.until) {
+		o.calls++
+		return core.ErrPlatform.New("down")
+	}
+	return nil
+}
+
+func (o *outage) watcher(gate *Gate) *Watcher[int] {
+	return &Watcher[int]{
+		Gate: gate,
+		Wait: time.Minute,
+		List: func() (List[int], error) {
+			err := o.call()
+			if err == nil {
+				o.mu.Lock()
+				o.listed++
+				o.mu.Unlock()
+			}
+			return List[int]{Objects: map[string]int{}, Revision: 1}, err
+		},
+		Watch: func(after uint64, wait time.Duration) (Changes[int], error) {
+			time.Sleep(wait)
+			return Changes[int]{Revision: after}, o.call()
+		},
+		OnChange:  func(map[string]int, uint64) {},
+		OnAnswer:  func() {},
+		OnFailure: func(error) {},
+	}
+}
+
+// TestOutageCostsOneWatchersCalls is the pattern of a store that is down for
+// long: the watchers of a host ask it as often as one would, and all of them
+// list as soon as it is back.
+func TestOutageCostsOneWatchersCalls(t *testing.T) {
+	const (
+		down     = 20 * time.Second
+		watchers = 4
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &outage{until: time.Now().Add(down)}
+		ctx, stop := context.WithCancel(t.Context())
+		gate := &Gate{}
+		var group conc.WaitGroup
+		for range watchers {
+			w := store.watcher(gate)
+			group.Go(func() { w.Run(ctx) })
+		}
+		time.Sleep(down + maxPause + time.Millisecond)
+		// Each watcher finds the failure once; then one asks, at the least
+		// after half of the longest pause, once the pause has grown.
+		const growing = 4
+		is.True(store.calls <= watchers+growing+int(down/(maxPause/2)))
+		is.Equal(store.listed, watchers)
+		stop()
+		time.Sleep(time.Minute)
+		group.Wait()
+	})
+}
+
+// TestHistoryGoneListsAgain is the pattern of a store that forgot the changes
+// after a watch's revision.
+func TestHistoryGoneListsAgain(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	lists := 0
+	w := &Watcher[int]{
+		List: func() (List[int], error) {
+			lists++
+			if lists == 2 {
+				stop()
+			}
+			return List[int]{Objects: map[string]int{}, Revision: 1}, nil
+		},
+		Watch: func(uint64, time.Duration) (Changes[int], error) {
+			return Changes[int]{}, core.ErrHistoryGone.New("compacted")
+		},
+		OnChange:  func(map[string]int, uint64) {},
+		OnAnswer:  func() {},
+		OnFailure: func(error) { t.Error("not a failure") },
+	}
+	w.Run(ctx)
+	is.Equal(lists, 2)
+}
