Keep one near and one far copy of each object; hold requests while a host gets ready

Ruled out: too little room (the slots were 60% busy), wrong loads (the mean wait at the lookups was 8 to 14 ms). Change: two copies, near and far, between which requests follow the load; plans move at half the speed. Requests wait for a host that just started and for the turn of a cold upstream instead of being refused. Repeats are earned by the requests of the last two seconds.

--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	// copies is the number of upstreams of the planned region that an object's
-	// requests may go to, and farCopies that of the next region. Upstreams know
-	// a limited number of objects: if a busy service spread each object over
-	// more of them, they would forget objects faster than they learn them.
-	copies    = 2
-	farCopies = 1
+	// copies is the number of upstreams that an object's requests may go to, one
+	// in each region of its order. Upstreams know a limited number of objects: if
+	// a busy service spread each object over more of them, they would forget
+	// objects faster than they learn them.
+	copies = 2
 	// unknownWork is how much longer work on an unknown object takes, as a
 	// multiple of the usual work.
 	unknownWork = 2.0
@@ -48,8 +47,8 @@
 	gain time.Duration
 }
 
-// candidates returns the first upstreams of each allowed region in the order
-// of the key, with their costs.
+// candidates returns the upstreams that hold the copies of the key's object, with
+// their costs.
 func (p *Placer) candidates(s *service, query Query, key uint64, now time.Time) candidates {
 	usable := p.usable(s, query, now)
 	if len(usable) == 0 {
@@ -58,10 +57,12 @@
 	work := s.work.or(defaultWork)
 	found := candidates{gain: time.Duration(moveGain * float64(work))}
 	regions := byRegion(usable)
-	for i, region := range s.plan.order(key, p.Zone.Region, usable) {
-		n := copies
-		if i > 0 {
-			n = farCopies
+	order := s.plan.order(key, p.Zone.Region, usable)
+	for i, region := range order {
+		// Where one region is left, it holds all copies.
+		n := 1
+		if i == len(order)-1 {
+			n = copies - len(found.list)
 		}
 		for rank, c := range first(regions[region], key, n) {
 			c.isMoved = i > 0
@@ -69,7 +70,7 @@
 			_, c.isKnown = c.upstream.known[key]
 			found.list = append(found.list, c)
 		}
-		if len(found.list) > copies {
+		if len(found.list) >= copies {
 			break
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -93,6 +93,10 @@
 	// Wait is how long the request is expected to queue at the upstream.
 	Wait time.Duration
 
+	// IsPaced says, where no upstream was chosen, that only the bounds of cold
+	// upstreams were in the way, so that one may get the request soon.
+	IsPaced bool
+
 	key      uint64
 	isQueued bool
 }
@@ -233,7 +237,7 @@
 			isQueued: c.wait > 0,
 		}, true
 	}
-	return Choice{}, false
+	return Choice{IsPaced: true}, false
 }
 
 // recentUse is how long after a request the next one is expected.
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,9 +12,9 @@
 	// shareRate is how fast the planned share of a region moves, in parts of
 	// all requests a second. Twice this and moveShare together stay below the
 	// 15% of a region's requests that may move between two windows of 2 s.
-	shareRate = 0.04
+	shareRate = 0.02
 	// moveShare is the part of requests that may leave the planned region.
-	moveShare = 0.04
+	moveShare = 0.10
 	// migrateShare is the part of requests whose object may get another
 	// upstream although one knows it.
 	migrateShare = 0.03
@@ -61,7 +60,10 @@
 )
 
 // order returns the regions that have slots, in the order in which the key's
-// requests should use them. The first is the planned one.
+// requests should use them. The first is the planned one. The own region is the
+// first for its part of the keys and the second for the others, so that each
+// object has one near upstream and one elsewhere: requests follow the load
+// between two upstreams that know the object, and no key has to move for that.
 func (p *plan) order(key uint64, own core.RegionName, usable []*upstream) []core.RegionName {
 	slots := map[core.RegionName]int{}
 	for _, u := range usable {
@@ -71,26 +73,25 @@
 		region core.RegionName
 		score  float64
 	}
-	regions := make([]scored, 0, len(slots))
-	isNear := unit(mix(key, saltStay)) < p.near
+	others := make([]scored, 0, len(slots))
 	for region, n := range slots {
-		score := rendezvous(mix(key, saltRegion), string(region), float64(n))
-		if region == own {
-			// The own region comes first for its part of the keys, and last for
-			// the others.
-			score = -1
-			if isNear {
-				score = math.Inf(1)
-			}
+		if region != own {
+			others = append(others, scored{region, rendezvous(mix(key, saltRegion), string(region), float64(n))})
 		}
-		regions = append(regions, scored{region, score})
 	}
-	slices.SortFunc(regions, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	order := make([]core.RegionName, len(regions))
-	for i, r := range regions {
-		order[i] = r.region
+	slices.SortFunc(others, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	order := make([]core.RegionName, 0, len(slots))
+	for _, o := range others {
+		order = append(order, o.region)
 	}
-	return order
+	if slots[own] == 0 {
+		return order
+	}
+	at := 0
+	if isNear := unit(mix(key, saltStay)) < p.near; !isNear {
+		at = min(1, len(order))
+	}
+	return slices.Insert(order, at, own)
 }
 
 // begin sets the plan of a service to the share of the near slots. Before the
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -23,12 +23,17 @@
 	"github.com/endiverun/endiverun/core"
 )
 
-// safety is the part of the budget that hosts use. The rest covers requests
-// that are counted in another window than the one that their repeats fall in.
-const safety = 0.8
-
-// windowSteps is the number of steps in which a window slides.
-const windowSteps = 10
+const (
+	// safety is the part of the budget that hosts use. The rest covers repeats
+	// that arrive later than they were counted, together with others.
+	safety = 0.92
+	// windowSteps is the number of steps in which a window slides.
+	windowSteps = 50
+	// earnSteps is the number of steps within which requests earn repeats. Were
+	// it the whole window, a host whose requests become fewer could spend in one
+	// window what it earned in the one before.
+	earnSteps = windowSteps / 5
+)
 
 // Retrier is one host's part of the budget.
 type Retrier struct {
@@ -44,14 +49,32 @@
 	services map[core.ServiceName]*counts
 }
 
-// counts holds the requests and repeats of the last window. One step more
-// than the window covers keeps a repeat counted until it has left the window.
+// counts holds the requests and repeats of the last steps. The present step has
+// only begun, so all of them together cover more than a window, and all but the
+// oldest less than one: repeats are counted over the former and requests over
+// the latter.
 type counts struct {
 	requests [windowSteps + 1]int
 	repeats  [windowSteps + 1]int
 	step     int64
 }
 
+// last returns the requests of the last n steps, the present one included, and
+// the repeats of one step more.
+func (c *counts) last(n int64) (requests, repeats int) {
+	for i := range n {
+		requests += c.requests[index(c.step-i)]
+		repeats += c.repeats[index(c.step-i)]
+	}
+	return requests, repeats + c.repeats[index(c.step-n)]
+}
+
+// index returns where a step is counted.
+func index(step int64) int64 {
+	const steps = windowSteps + 1
+	return (step%steps + steps) % steps
+}
+
 // SetHosts states how many hosts share the allowance.
 func (r *Retrier) SetHosts(n int) {
 	r.mu.Lock()
@@ -64,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.at(service, now)
-	c.requests[c.step%(windowSteps+1)]++
+	c.requests[index(c.step)]++
 }
 
 // CanSpend reports whether the budget allows one more additional attempt.
@@ -82,13 +105,22 @@
 	if !r.isAllowed(c) {
 		return false
 	}
-	c.repeats[c.step%(windowSteps+1)]++
+	c.repeats[index(c.step)]++
 	return true
 }
 
+// isAllowed reports whether one more repeat is within the window's budget, and
+// within what the requests of the last steps earned.
 func (r *Retrier) isAllowed(c *counts) bool {
-	allowed := safety * (r.Fraction*float64(sum(c.requests)) + r.Allowance/float64(max(r.hosts, 1)))
-	return float64(sum(c.repeats)+1) <= allowed
+	return r.hasLeft(c, windowSteps) && r.hasLeft(c, earnSteps)
+}
+
+// hasLeft reports whether one more repeat is within the part of the budget that
+// falls to the last n steps.
+func (r *Retrier) hasLeft(c *counts, n int64) bool {
+	requests, repeats := c.last(n)
+	allowance := r.Allowance / float64(max(r.hosts, 1)) * float64(n) / windowSteps
+	return float64(repeats+1) <= safety*(r.Fraction*float64(requests)+allowance)
 }
 
 // at returns the counts of a service, with what has left the window removed.
@@ -107,17 +139,9 @@
 	}
 	for n := 0; c.step < step && n <= windowSteps; n++ {
 		c.step++
-		c.requests[c.step%(windowSteps+1)] = 0
-		c.repeats[c.step%(windowSteps+1)] = 0
+		c.requests[index(c.step)] = 0
+		c.repeats[index(c.step)] = 0
 	}
 	c.step = max(c.step, step)
 	return c
 }
-
-func sum(values [windowSteps + 1]int) int {
-	total := 0
-	for _, v := range values {
-		total += v
-	}
-	return total
-}
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -1,6 +1,7 @@
 package retrier_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -84,3 +85,50 @@
 	is.True(r.CanSpend(core.ServiceName("despacho"), now)) // services do not share
 	is.True(r.CanSpend(service, now.Add(12*time.Second)))  // the window has passed
 }
+
+// TestShedsWhileClientsMove is the pattern of a service that begins to reject
+// half of what it gets while the clients of one region become fewer and those of
+// another more: the hosts of the first must not spend in one window what they
+// earned in the one before.
+func TestShedsWhileClientsMove(t *testing.T) {
+	const (
+		hosts    = 12
+		fraction = 0.2
+		allow    = 64.0
+		window   = 10 * time.Second
+		step     = 100 * time.Millisecond
+		calm     = 13 * time.Second
+		end      = 40 * time.Second
+	)
+	var fleet []*retrier.Retrier
+	for range hosts {
+		r := &retrier.Retrier{Window: window, Fraction: fraction, Allowance: allow}
+		r.SetHosts(hosts)
+		fleet = append(fleet, r)
+	}
+	var requests, repeats []time.Time
+	start := time.Unix(1000, 0)
+	for at := time.Duration(0); at < end; at += step {
+		now := start.Add(at)
+		for i, r := range fleet {
+			// Demand swings by half over 36 s, with another phase in each region.
+			phase := at.Seconds()/36 + float64(i%3)/3
+			n := int(5 + 4*math.Sin(2*math.Pi*phase))
+			for range n {
+				r.Count(service, now)
+				requests = append(requests, now)
+				for at >= calm && r.Spend(service, now) {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+	}
+	is := is.New(t)
+	for at := window; at < end; at += step {
+		now := start.Add(at)
+		bound := fraction*float64(countIn(requests, now.Add(-window), now)) + allow
+		is.True(float64(countIn(repeats, now.Add(-window), now)) <= bound)
+	}
+	budget := fraction*float64(countIn(requests, start.Add(calm), start.Add(end))) + allow
+	is.True(float64(len(repeats)) >= 0.8*budget) // most of it is used
+}
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -135,6 +135,7 @@
 		Retrier:     c.retrier,
 		Exchanger:   c.exchanger,
 		MaxBodies:   c.Memory / bodyPart,
+		IsReady:     c.isReady.Load,
 		IsConfirmed: func() bool { return c.contact.isConfirmed(time.Now()) },
 		OnRetry:     c.logRetry,
 		OnRefusal:   c.logRefusal,
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -74,6 +74,9 @@
 	Exchanger *exchanger.Exchanger
 	// MaxBodies bounds the bytes of all request bodies held at a time.
 	MaxBodies core.Bytes
+	// IsReady reports whether the host knows enough to serve; nil means that a
+	// policy is enough.
+	IsReady func() bool
 	// IsConfirmed reports whether the policy is known to be the newest, so
 	// that a request without a route may be denied.
 	IsConfirmed func() bool
@@ -166,7 +169,7 @@
 		ctx.SetConnectionClose()
 	}
 	now := time.Now()
-	policy := f.policy.Load()
+	policy := f.awaitPolicy(f.holdLimit(ctx, now))
 	if policy == nil {
 		f.refuse(ctx, Event{RequestID: f.id(ctx)}, "no-policy", notReadyRetry)
 		return
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -110,6 +110,9 @@
 	stop    context.CancelFunc
 	done    chan error
 	refused atomic.Pointer[forwarder.Event]
+	placer  *placer.Placer
+	// isStarting says that the host does not know enough to serve yet.
+	isStarting atomic.Bool
 }
 
 func newHost(t *testing.T, route core.Route, upstreams ...*upstream) *host {
@@ -118,7 +121,7 @@
 	for i, u := range upstreams {
 		list = append(list, u.start(t, "desk-"+strconv.Itoa(i)))
 	}
-	pacing := &pacer.Pacer{Self: "self"}
+	pacing := &pacer.Pacer{Self: "self", Slack: 20}
 	pacing.SetHosts([]core.HostName{"self"})
 	place := &placer.Placer{
 		Zone:    core.Zone{Name: "for-a", Region: "for"},
@@ -128,7 +131,7 @@
 	place.SetUpstreams(list, time.Now())
 	retries := &retrier.Retrier{Window: 10 * time.Second, Fraction: 0.2, Allowance: 10}
 	retries.SetHosts(1)
-	h := &host{done: make(chan error, 1)}
+	h := &host{done: make(chan error, 1), placer: place}
 	h.Forwarder = &forwarder.Forwarder{
 		Fields:  forwarder.Fields{RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Key"},
 		Placer:  place,
@@ -140,6 +143,7 @@
 			Dial:      caller.NewDialer(time.Second),
 			MaxAnswer: core.Mebibyte,
 		},
+		IsReady:   func() bool { return !h.isStarting.Load() },
 		OnRefusal: func(e forwarder.Event) { h.refused.Store(&e) },
 	}
 	if route.Prefix != "" {
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -42,6 +42,8 @@
 	deadline time.Time
 	// until is when the final answer must be on its way.
 	until time.Time
+	// hold is until when the request may wait for an upstream.
+	hold time.Time
 
 	tried []core.UpstreamName
 	// runs counts the attempts that may have run the request.
@@ -68,6 +70,7 @@
 	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, now time.Time,
 ) *exchange {
 	x := &exchange{forwarder: f, request: ctx, route: route, service: f.splitter.next(route), body: body, start: now}
+	x.hold = f.holdLimit(ctx, now)
 	client := f.deadline(ctx, now)
 	x.deadline, x.until = client, client.Add(-answerMargin)
 	if route.Timeout > 0 {
@@ -87,7 +90,7 @@
 func (x *exchange) run(work context.Context) {
 	for len(x.tried) < maxTries && work.Err() == nil {
 		now := time.Now()
-		choice, ok := x.choose(now)
+		choice, ok := x.choose(work, now)
 		if !ok {
 			break
 		}
@@ -111,7 +114,7 @@
 
 // choose returns the upstream for the next attempt. It returns false where no
 // upstream can answer in time, or the budget allows no further attempt.
-func (x *exchange) choose(now time.Time) (placer.Choice, bool) {
+func (x *exchange) choose(work context.Context, now time.Time) (placer.Choice, bool) {
 	if !now.Before(x.deadline) {
 		return placer.Choice{}, false
 	}
@@ -122,7 +125,8 @@
 		Homes:       x.route.Homes,
 		Exclude:     x.tried,
 	}
-	choice, ok := x.forwarder.Placer.Choose(query, now)
+	choice, ok := x.place(work, query)
+	now = time.Now()
 	if !ok {
 		x.event.Detail = "no upstream may get it"
 		return choice, false
