Serve metrics on the platform: counters, latency histograms and gauges in one registry; spans

Cause: the platform's hosts had logs only; counters, latencies and the age of what a host believes were not to be seen from outside. Change: entry/meter, bounded in its series, read as text at /metrics and as JSON at /debug/vars of the metrics port; attempts by service, zone and outcome, requests by cause, retries, calls to the store, times of requests, attempts and queues; gauges of policy, store and log. A span for each request and each attempt where the settings name an exporter. An upstream's own failure that reaches a client is logged (event 511).

--- a/core/placer/world_test.go
+++ b/core/placer/world_test.go
@@ -110,7 +110,7 @@
 // newWorld returns a world with the given number of upstreams in each zone.
 func newWorld(profile profile, counts map[core.ZoneName]int) *world {
 	w := &world{
-		profile: profile, now: start, random: rand.New(rand.NewPCG(1, 2)), //nolint:gosec // A model needs no secrets.
+		profile: profile, now: start, random: rand.New(rand.NewPCG(1, 2)),
 		servers: map[core.UpstreamName]*server{}, pairs: map[string]map[core.UpstreamName]bool{},
 	}
 	var list []core.Upstream
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -44,6 +44,16 @@
 	return c.answered.After(c.failed) && now.Sub(c.answered) < confirmedFor
 }
 
+// age returns the time since the last answer.
+func (c *contact) age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered.IsZero() {
+		return 0
+	}
+	return now.Sub(c.answered)
+}
+
 // StoreAnswered states that the store gave an answer.
 func (c *Controller) StoreAnswered(now time.Time) {
 	c.replicator.Answered(now)
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,8 @@
 	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/heartbeater"
 	"github.com/endiverun/endiverun/entry/logger"
+	"github.com/endiverun/endiverun/entry/meter"
+	"github.com/endiverun/endiverun/entry/tracer"
 )
 
 const (
@@ -82,6 +85,10 @@
 	UpstreamFields exchanger.Fields
 	ClientFields   forwarder.Fields
 	Log            *logger.Logger
+	// Meter gets the host's metrics; nil makes one.
+	Meter *meter.Meter
+	// Tracer makes spans; nil makes none.
+	Tracer *tracer.Tracer
 	// Seeds are addresses of hosts that may serve a snapshot to one that has
 	// read nothing yet.
 	Seeds []string
@@ -112,6 +119,9 @@
 
 // Init prepares the host. Call it once, before any other method.
 func (c *Controller) Init() {
+	if c.Meter == nil {
+		c.Meter = meter.New()
+	}
 	dial := caller.NewDialer(unackedLimit)
 	c.replicator = &replicator.Replicator{OnChange: c.apply}
 	c.pacer = &pacer.Pacer{Self: c.Self.Name, Overage: c.Bounds.WarmUpOverage, Slack: c.Bounds.WarmUpSlack}
@@ -137,9 +147,13 @@
 		MaxBodies:   c.Memory / bodyPart,
 		IsReady:     c.isReady.Load,
 		IsConfirmed: func() bool { return c.contact.isConfirmed(time.Now()) },
-		OnRetry:     c.logRetry,
-		OnRefusal:   c.logRefusal,
+		Tracer:      c.Tracer,
+		OnEnd:       c.noteAnswer,
+		OnAttempt:   c.countAttempt,
+		OnRetry:     c.noteRetry,
+		OnRefusal:   c.noteRefusal,
 	}
+	c.observe()
 }
 
 // Run serves clients until ctx ends, then stops as planned.
@@ -258,15 +272,30 @@
 	return max(int(total)/max(int(c.hosts.Load()), 1), 1)
 }
 
-// logRetry explains a further attempt.
-func (c *Controller) logRetry(e forwarder.Event) {
+// noteAnswer counts an upstream's answer. A failure of the upstream's own is
+// explained.
+func (c *Controller) noteAnswer(e forwarder.Event) {
+	e.Cause = ""
+	c.countEnd(e)
+	if e.Status >= http.StatusInternalServerError {
+		c.Log.Event(logger.UpstreamFailed).
+			Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
+			Str("upstream", string(e.Upstream)).Uint64("policy", e.Version).Int("status", e.Status).
+			Dur("took", e.Took).Send()
+	}
+}
+
+// noteRetry explains and counts a further attempt.
+func (c *Controller) noteRetry(e forwarder.Event) {
+	c.Meter.Count(meter.Retries, meter.Labels{Service: string(e.Service)})
 	c.Log.Event(logger.RequestRetried).
 		Str("request", e.RequestID).Str("service", string(e.Service)).
 		Uint64("policy", e.Version).Str("cause", e.Cause).Send()
 }
 
-// logRefusal explains an answer of the host's own.
-func (c *Controller) logRefusal(e forwarder.Event) {
+// noteRefusal explains and counts an answer of the host's own.
+func (c *Controller) noteRefusal(e forwarder.Event) {
+	c.countEnd(e)
 	c.Log.Event(logger.RequestRefused).
 		Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
 		Str("upstream", string(e.Upstream)).Uint64("policy", e.Version).Int("status", e.Status).
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -75,6 +75,8 @@
 	Until time.Time
 	// Trip is the usual round trip to the upstream.
 	Trip time.Duration
+	// Trace is the traceparent for the upstream; empty leaves the client's.
+	Trace string
 }
 
 // Result is what became of an attempt.
--- a/entry/exchanger/send.go
+++ b/entry/exchanger/send.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/endiverun/endiverun/entry/caller"
 )
 
 // head returns the header for the upstream.
@@ -22,6 +24,9 @@
 	header.Set(e.Fields.Target, string(attempt.Upstream.Name))
 	left := max(time.Until(attempt.Deadline).Milliseconds(), 1)
 	header.Set(e.Fields.Deadline, strconv.FormatInt(left, 10))
+	if attempt.Trace != "" {
+		header.Set(caller.HeaderTrace, attempt.Trace)
+	}
 	header.SetContentLength(len(attempt.Body))
 	return request
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	"github.com/endiverun/endiverun/core/retrier"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
+	"github.com/endiverun/endiverun/entry/tracer"
 )
 
 // Bounds of client connections.
@@ -64,6 +65,17 @@
 	Detail string
 	Status int
 	Took   time.Duration
+	// Attempt is set for the end of an attempt.
+	Attempt AttemptEnd
+}
+
+// AttemptEnd is what became of one attempt.
+type AttemptEnd struct {
+	Zone    core.ZoneName
+	Outcome placer.Outcome
+	// Run is the time from the send to the answer, Wait that for which the
+	// attempt was expected to queue.
+	Run, Wait time.Duration
 }
 
 // Forwarder serves clients.
@@ -80,8 +92,12 @@
 	// IsConfirmed reports whether the policy is known to be the newest, so
 	// that a request without a route may be denied.
 	IsConfirmed func() bool
-	// OnEnd, OnRetry and OnRefusal are told of requests; nil ignores them.
+	// Tracer makes spans; nil makes none.
+	Tracer *tracer.Tracer
+	// OnEnd, OnAttempt, OnRetry and OnRefusal are told of requests; nil ignores
+	// them.
 	OnEnd     func(Event)
+	OnAttempt func(Event)
 	OnRetry   func(Event)
 	OnRefusal func(Event)
 
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -8,8 +8,10 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
+	"github.com/endiverun/endiverun/entry/caller"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
+	"github.com/endiverun/endiverun/entry/tracer"
 )
 
 const (
@@ -45,17 +47,22 @@
 	// hold is until when the request may wait for an upstream.
 	hold time.Time
 
+	span  tracer.Span
 	tried []core.UpstreamName
 	// runs counts the attempts that may have run the request.
 	runs int
 	// arrivals counts the attempts that reached an upstream.
 	arrivals int
 	wait     time.Duration
+	// isAnswered says that the client gets an upstream's answer.
+	isAnswered bool
 }
 
 // serve finds an answer for a request and writes it.
 func (f *Forwarder) serve(ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, now time.Time) {
 	x := f.newExchange(ctx, policy, route, body, now)
+	x.span = f.Tracer.Start(string(ctx.Request.Header.Peek(caller.HeaderTrace)), "entry.request")
+	defer func() { x.span.End(x.failure()) }()
 	f.Retrier.Count(x.service, now)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -162,6 +169,8 @@
 func (x *exchange) attempt(work context.Context, choice placer.Choice) exchanger.Result {
 	x.tried = append(x.tried, choice.Upstream.Name)
 	x.event.Upstream = choice.Upstream.Name
+	span := x.forwarder.Tracer.Start(x.span.Parent(), "entry.attempt")
+	span.Set("upstream", string(choice.Upstream.Name))
 	result := x.forwarder.Exchanger.Do(work, exchanger.Attempt{
 		Upstream:  choice.Upstream,
 		Head:      &x.request.Request.Header,
@@ -170,7 +179,10 @@
 		Deadline:  x.deadline.Add(-choice.Trip / 2),
 		Until:     x.until,
 		Trip:      choice.Trip,
+		Trace:     span.Parent(),
 	})
+	span.End(result.Fault)
+	x.noteAttempt(choice, result.Report)
 	x.forwarder.Placer.Report(choice, result.Report, time.Now())
 	if result.HasArrived {
 		x.arrivals++
@@ -178,6 +190,27 @@
 	return result
 }
 
+// noteAttempt tells of the end of an attempt.
+func (x *exchange) noteAttempt(choice placer.Choice, report placer.Report) {
+	event := x.event
+	event.Attempt = AttemptEnd{
+		Zone:    choice.Upstream.Zone,
+		Outcome: report.Outcome,
+		Run:     report.Run,
+		Wait:    choice.Wait,
+	}
+	notify(x.forwarder.OnAttempt, event)
+}
+
+// failure returns why the request has no answer of an upstream; empty where it
+// has one.
+func (x *exchange) failure() string {
+	if x.isAnswered {
+		return ""
+	}
+	return x.event.Cause
+}
+
 // take decides what a result means for the request and reports whether the
 // request has its answer.
 func (x *exchange) take(result *exchanger.Result, choice placer.Choice) bool {
@@ -225,6 +258,7 @@
 	if closes {
 		x.request.SetConnectionClose()
 	}
+	x.isAnswered = true
 	x.event.Status = response.StatusCode()
 	x.event.Took = time.Since(x.start)
 	notify(x.forwarder.OnEnd, x.event)
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -56,6 +56,7 @@
 	UpstreamBroken  = Event{501, "upstream-answer-rejected", zerolog.WarnLevel, "An answer was unusable; its connection is closed."}
 	RequestUnknown  = Event{502, "request-outcome-unknown", zerolog.WarnLevel, "A request ended without proof of whether it ran."}
 	RequestRetried  = Event{503, "request-retried", zerolog.WarnLevel, "A request gets a further attempt."}
+	UpstreamFailed  = Event{511, "upstream-failed", zerolog.WarnLevel, "A client got an upstream's own failure."}
 	RequestRefused  = Event{504, "request-refused", zerolog.WarnLevel, "The host answered a request itself."}
 
 	UpstreamUnreadable = Event{505, "upstream-unreadable", zerolog.WarnLevel, "A registration of an upstream cannot be read; it gets nothing."}
@@ -85,7 +86,7 @@
 	PlatformLost, PlatformFound, SlotTaken, SlotLost,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamBroken, RequestUnknown,
-	RequestRetried, RequestRefused,
+	RequestRetried, RequestRefused, UpstreamFailed,
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, CheckFailed, UpstreamCold,
 	PolicyApplied, PolicyUnreadable,
@@ -144,6 +145,14 @@
 	}
 }
 
+// Lost returns the lines that found the writer too slow.
+func (l *Logger) Lost() int64 {
+	if l.queue == nil {
+		return 0
+	}
+	return l.queue.dropped.Load()
+}
+
 // Close writes what is queued, for the given time at most.
 func (l *Logger) Close(timeout time.Duration) {
 	if l.queue != nil {
--- /dev/null
+++ b/entry/meter/text.go
@@ -0,0 +1,68 @@
+package meter
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// prefix begins the names of all metrics in the text.
+const prefix = "endiverun_"
+
+// WriteText writes all metrics in the text format that collectors read: a line
+// for each series, histograms as summaries.
+func (m *Meter) WriteText(w io.Writer) error {
+	out := bufio.NewWriter(w)
+	reading := m.Read()
+	for _, metric := range slices.Sorted(maps.Keys(reading.Counters)) {
+		name := prefix + string(metric) + "_total"
+		fmt.Fprintf(out, "# TYPE %s counter\n", name)
+		for _, s := range reading.Counters[metric] {
+			fmt.Fprintf(out, "%s%s %d\n", name, s.Labels.text(""), s.Count)
+		}
+	}
+	for _, metric := range slices.Sorted(maps.Keys(reading.Histograms)) {
+		name := prefix + string(metric) + "_seconds"
+		fmt.Fprintf(out, "# TYPE %s summary\n", name)
+		for _, s := range reading.Histograms[metric] {
+			writeSummary(out, name, s)
+		}
+	}
+	for _, gauge := range slices.Sorted(maps.Keys(reading.Gauges)) {
+		fmt.Fprintf(out, "# TYPE %s gauge\n%s %g\n", prefix+gauge, prefix+gauge, reading.Gauges[gauge])
+	}
+	return out.Flush()
+}
+
+func writeSummary(out io.Writer, name string, s Series) {
+	for _, q := range slices.Sorted(maps.Keys(s.Quantiles)) {
+		fmt.Fprintf(out, "%s%s %g\n", name, s.Labels.text(q), s.Quantiles[q])
+	}
+	fmt.Fprintf(out, "%s_sum%s %g\n", name, s.Labels.text(""), s.Sum)
+	fmt.Fprintf(out, "%s_count%s %d\n", name, s.Labels.text(""), s.Count)
+}
+
+// text returns the labels in braces, with a quantile where it is not empty.
+func (l Labels) text(quantile string) string {
+	pairs := []struct{ name, value string }{
+		{"service", l.Service},
+		{"zone", l.Zone},
+		{"outcome", l.Outcome},
+		{"cause", l.Cause},
+		{"call", l.Call},
+		{"quantile", quantile},
+	}
+	var parts []string
+	for _, p := range pairs {
+		if p.value != "" {
+			parts = append(parts, fmt.Sprintf("%s=%q", p.name, p.value))
+		}
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
--- a/entry/tracer/tracer.go
+++ b/entry/tracer/tracer.go
@@ -81,15 +81,16 @@
 
 // Close exports what is left.
 func (t *Tracer) Close(ctx context.Context) error {
-	if t.provider == nil {
+	if t == nil || t.provider == nil {
 		return nil
 	}
 	return t.provider.Shutdown(ctx)
 }
 
-// Start begins a span under the given traceparent, which may be empty.
+// Start begins a span under the given traceparent, which may be empty. A nil
+// tracer makes spans that only pass the traceparent on.
 func (t *Tracer) Start(parent, name string) Span {
-	if t.tracer == nil {
+	if t == nil || t.tracer == nil {
 		return Span{parent: parent}
 	}
 	carrier := propagation.MapCarrier{traceparent: parent}
