One host of a zone reads the store for the others in large fleets; deal with the upstreams in use

Ways weighed: a reader for a region (fewer calls, but copies cross zones and a cut between zones separates them); possibly stale watches on every host (a stale answer can break the bound of a leaving upstream); a reader for a zone, taken. Mechanism: heartbeats tell how new a host's copy is and when it last reached the store; a host follows its zone's reader while that is less than 1.5 s ago, fetches what changed, and reads the store itself otherwise. A reader proves every half second that it reaches the store. Checks in large fleets go to upstreams that requests are kept from; connections are opened ahead to those used lately and kept as long as the service's upstreams say.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -222,6 +222,7 @@
 		c := found.list[i]
 		u := c.upstream
 		if u.isCold(s.policy.WarmUp, now) && !p.Pacer.Take(u.Name, s.policy.WarmUpRate, now) {
+			u.wanted = now
 			found.list = append(found.list[:i], found.list[i+1:]...)
 			continue
 		}
@@ -240,8 +241,14 @@
 	return Choice{IsPaced: true}, false
 }
 
-// recentUse is how long after a request the next one is expected.
-const recentUse = 15 * time.Second
+const (
+	// recentUse is how long after a request the next one is expected.
+	recentUse = 15 * time.Second
+	// fewUpstreams is the number of upstreams up to which a host deals with all
+	// of them ahead of requests. In larger fleets most upstreams get few
+	// requests of one host, and it deals with those that it uses.
+	fewUpstreams = 64
+)
 
 // Prepared returns the upstreams of other regions to which the next request
 // should find an open connection, since opening one takes a long round trip.
@@ -250,6 +257,8 @@
 	defer p.mu.Unlock()
 	var list []core.Upstream
 	for _, s := range p.services {
+		// Before the first request nothing tells which ones will be used.
+		isAhead := len(p.upstreams) <= fewUpstreams || !s.plan.isSet
 		if !s.plan.isSet {
 			// Until the first request the plan follows the list.
 			s.plan.near = p.fairShare(s)
@@ -258,7 +267,7 @@
 			if u.region == p.Zone.Region || u.Draining || p.evacuated[u.Zone] || u.isDown(now) {
 				continue
 			}
-			if s.plan.near < 1 || now.Sub(u.used) < recentUse {
+			if isAhead && s.plan.near < 1 || now.Sub(u.used) < recentUse {
 				list = append(list, u.Upstream)
 			}
 		}
@@ -277,15 +286,22 @@
 	return defaultTrip
 }
 
+// wantedFor is how long after a request was kept from an upstream others are
+// expected for it.
+const wantedFor = time.Second
+
 // Suspects returns the upstreams that may be cold without having said so, and
-// that a health check may clear.
+// that a health check may clear. In a large fleet only those are checked that
+// requests are kept from.
 func (p *Placer) Suspects(now time.Time) []core.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isSmall := len(p.upstreams) <= fewUpstreams
 	var list []core.Upstream
 	for _, s := range p.services {
 		for _, u := range s.members {
 			isOpen := !u.Draining && !p.evacuated[u.Zone] && !u.isDown(now)
+			isOpen = isOpen && (isSmall || now.Sub(u.wanted) < wantedFor)
 			if isOpen && !u.suspected.IsZero() && u.isCold(s.policy.WarmUp, now) && !now.Before(u.suspected) {
 				list = append(list, u.Upstream)
 			}
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -357,3 +357,36 @@
 		is.Equal(regions[run(t, p, query(fmt.Sprint(i)), start.Add(4*time.Second)).Zone], core.RegionName("for"))
 	}
 }
+
+// TestLargeFleetDealsWithWhatItUses is the pattern of a fleet in which one host
+// uses few of the upstreams: connections are opened ahead to those of other
+// regions that it used lately, and only those are checked for coldness that
+// requests are kept from.
+func TestLargeFleetDealsWithWhatItUses(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", append(upstreamsIn(20, "slz-a"), upstreamsIn(40, "for-a", "nat-a")...))
+	p.AssumeCold = true
+	is.Equal(len(p.Prepared(start)), 80) // before the first request
+	used := map[core.UpstreamName]bool{}
+	for i := range 30 {
+		used[run(t, p, query(fmt.Sprint(i)), start).Name] = true
+	}
+	for _, u := range p.Prepared(start) {
+		is.True(used[u.Name])
+	}
+	is.Equal(len(p.Prepared(start.Add(time.Minute))), 0)
+
+	p.SetEvacuated([]core.ZoneName{"slz-a", "for-a", "nat-a"}, start)
+	p.SetEvacuated(nil, start) // all may be cold
+	is.Equal(len(p.Suspects(start)), 0)
+	kept := 0
+	for i := range 200 {
+		if _, ok := p.Choose(query(fmt.Sprint(i%50)), start); !ok {
+			kept++
+		}
+	}
+	is.True(kept > 0)
+	is.True(len(p.Suspects(start)) > 0)
+	is.True(len(p.Suspects(start)) <= 2*50) // the copies of fifty objects
+	is.Equal(len(p.Suspects(start.Add(2*time.Second))), 0)
+}
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -41,6 +41,8 @@
 	// suspected is when the upstream may have become cold without a word; zero
 	// where nothing speaks for it.
 	suspected time.Time
+	// wanted is when a request was last kept from the upstream for being cold.
+	wanted time.Time
 
 	inFlight int
 	used     time.Time
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -49,10 +49,20 @@
 	Limits   core.ClientLimits    `cbor:"4,keyasint"`
 }
 
-// Upstreams is the list of upstreams as of a revision of the store.
+// Upstreams is the list of upstreams as of a revision of the store, or what
+// changed since an earlier one.
 type Upstreams struct {
 	Revision uint64          `cbor:"1,keyasint"`
 	List     []core.Upstream `cbor:"2,keyasint"`
+	// Base is 0 for a whole list. Otherwise List and Removed hold what changed
+	// after that revision.
+	Base    uint64              `cbor:"3,keyasint,omitempty"`
+	Removed []core.UpstreamName `cbor:"4,keyasint,omitempty"`
+	// ColdFor is for how many milliseconds upstreams stay cold. Hosts pass it on
+	// in place of a time, since their clocks differ.
+	ColdFor map[core.UpstreamName]uint32 `cbor:"5,keyasint,omitempty"`
+	// HasLapsed says that the list includes upstreams that may have expired.
+	HasLapsed bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Evacuations is the list of evacuated zones as of a revision of the store.
@@ -75,24 +85,22 @@
 	Hosts       *Hosts       `cbor:"4,keyasint"`
 }
 
-// Version returns the version of the policy; 0 where there is none.
-func (s Snapshot) Version() uint64 {
-	if s.Policy == nil {
-		return 0
+// Revisions returns how new the parts are.
+func (s Snapshot) Revisions() core.Revisions {
+	var r core.Revisions
+	if s.Policy != nil {
+		r.Policy = s.Policy.Version
 	}
-	return s.Policy.Version
-}
-
-// Revision returns the newest revision of the upstreams and evacuations.
-func (s Snapshot) Revision() uint64 {
-	var revision uint64
 	if s.Upstreams != nil {
-		revision = s.Upstreams.Revision
+		r.Upstreams, r.HasLapsed = s.Upstreams.Revision, s.Upstreams.HasLapsed
 	}
 	if s.Evacuations != nil {
-		revision = max(revision, s.Evacuations.Revision)
+		r.Evacuations = s.Evacuations.Revision
 	}
-	return revision
+	if s.Hosts != nil {
+		r.Hosts = s.Hosts.Revision
+	}
+	return r
 }
 
 // IsComplete reports whether requests can be served by the copy.
@@ -108,6 +116,7 @@
 
 	mu         sync.Mutex
 	current    Snapshot
+	changes    changeLog
 	missing    map[core.UpstreamName]core.Upstream
 	lastAnswer time.Time
 	graceUntil time.Time
@@ -144,12 +153,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changed Snapshot
-	if update.Policy != nil && update.Policy.Version > r.current.Version() {
+	held := r.current.Revisions()
+	if update.Policy != nil && update.Policy.Version > held.Policy {
 		r.current.Policy, changed.Policy = update.Policy, update.Policy
 	}
-	if u := update.Upstreams; u != nil && (r.current.Upstreams == nil || u.Revision > r.current.Upstreams.Revision) {
-		changed.Upstreams = r.keepMissing(u, now)
-		r.current.Upstreams = changed.Upstreams
+	if u := update.Upstreams; u != nil && (r.current.Upstreams == nil || held.HasOlderUpstreams(update.Revisions())) {
+		if whole, ok := u.applyTo(r.current.Upstreams, now); ok {
+			r.setUpstreams(r.keepMissing(whole, now))
+			changed.Upstreams = r.current.Upstreams
+		}
 	}
 	if e := update.Evacuations; e != nil && (r.current.Evacuations == nil || e.Revision > r.current.Evacuations.Revision) {
 		r.current.Evacuations, changed.Evacuations = e, e
@@ -160,6 +172,12 @@
 	r.tell(changed, now)
 }
 
+// setUpstreams replaces the list and remembers what changed.
+func (r *Replicator) setUpstreams(next *Upstreams) {
+	r.changes.note(r.current.Upstreams, next)
+	r.current.Upstreams = next
+}
+
 func (r *Replicator) tell(changed Snapshot, now time.Time) {
 	if changed == (Snapshot{}) || r.OnChange == nil {
 		return
@@ -177,7 +195,7 @@
 	if len(r.missing) == 0 {
 		return update
 	}
-	kept := &Upstreams{Revision: update.Revision, List: append([]core.Upstream(nil), update.List...)}
+	kept := &Upstreams{Revision: update.Revision, HasLapsed: true, List: append([]core.Upstream(nil), update.List...)}
 	for _, u := range r.missing {
 		kept.List = append(kept.List, u)
 	}
@@ -215,7 +233,7 @@
 		}
 	}
 	r.missing = nil
-	r.current.Upstreams = next
+	r.setUpstreams(next)
 	r.tell(Snapshot{Upstreams: next}, now)
 }
 
--- a/core/replicator/replicator_test.go
+++ b/core/replicator/replicator_test.go
@@ -36,7 +36,7 @@
 	r := &replicator.Replicator{OnChange: func(time.Time, replicator.Snapshot, replicator.Snapshot) { changes++ }}
 	r.Take(replicator.Snapshot{Policy: &replicator.Policy{Version: 9}}, start)
 	r.Take(replicator.Snapshot{Policy: &replicator.Policy{Version: 7}}, start)
-	is.Equal(r.Snapshot().Version(), uint64(9))
+	is.Equal(r.Snapshot().Revisions().Policy, uint64(9))
 	r.Take(upstreams(50, "a", "b"), start)
 	r.Take(upstreams(49, "a", "b", "left"), start)
 	is.Equal(names(r), []string{"a", "b"})
@@ -118,5 +118,5 @@
 	update.Policy = &replicator.Policy{Version: 3}
 	r.Take(update, start)
 	is.True(r.Snapshot().IsComplete())
-	is.Equal(r.Snapshot().Revision(), uint64(51))
+	is.Equal(r.Snapshot().Revisions().Upstreams, uint64(51))
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -46,10 +46,12 @@
 	Host core.Host `cbor:"1,keyasint"`
 	// Ready says that the host takes requests of clients.
 	Ready bool `cbor:"2,keyasint"`
-	// PolicyVersion is the newest routing policy that the host applied.
-	PolicyVersion uint64 `cbor:"3,keyasint"`
-	// StoreRevision is the newest state of the store that the host has read.
-	StoreRevision uint64 `cbor:"4,keyasint"`
+	// Revisions is how new the host's copy of the store is.
+	Revisions core.Revisions `cbor:"3,keyasint"`
+	// Reads says that the host reads the store itself, which it last reached
+	// StoreAge ago.
+	Reads    bool              `cbor:"6,keyasint,omitempty"`
+	StoreAge core.Milliseconds `cbor:"7,keyasint,omitempty"`
 	// Cold tells for how many milliseconds upstreams stay cold that the host
 	// found so.
 	Cold map[core.UpstreamName]uint32 `cbor:"5,keyasint,omitempty"`
@@ -199,17 +201,17 @@
 	return names
 }
 
-// Newer returns a live host that has read a newer policy or store than the
-// given ones, if there is one.
-func (r *Roster) Newer(policy, revision uint64, now time.Time) (core.Host, bool) {
+// Newer returns a live host whose copy of the store is newer than the given one,
+// if there is one.
+func (r *Roster) Newer(held core.Revisions, now time.Time) (core.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *member
 	for _, m := range r.live(now) {
-		if m.beat.PolicyVersion <= policy && m.beat.StoreRevision <= revision {
+		if !held.IsBehind(m.beat.Revisions) {
 			continue
 		}
-		if best == nil || m.beat.StoreRevision > best.beat.StoreRevision {
+		if best == nil || best.beat.Revisions.IsBehind(m.beat.Revisions) {
 			best = m
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -116,14 +116,14 @@
 func TestNewer(t *testing.T) {
 	is := is.New(t)
 	r := newRoster()
-	r.Hear(roster.Heartbeat{Host: host("a", "for-a", "for", 1), PolicyVersion: 7, StoreRevision: 90}, start)
-	r.Hear(roster.Heartbeat{Host: host("b", "for-a", "for", 1), PolicyVersion: 9, StoreRevision: 99}, start)
-	newer, ok := r.Newer(8, 95, start)
+	r.Hear(roster.Heartbeat{Host: host("a", "for-a", "for", 1), Revisions: core.Revisions{Policy: 7, Upstreams: 90}}, start)
+	r.Hear(roster.Heartbeat{Host: host("b", "for-a", "for", 1), Revisions: core.Revisions{Policy: 9, Upstreams: 99}}, start)
+	newer, ok := r.Newer(core.Revisions{Policy: 8, Upstreams: 95}, start)
 	is.True(ok)
 	is.Equal(newer.Name, core.HostName("b"))
-	_, ok = r.Newer(9, 99, start)
+	_, ok = r.Newer(core.Revisions{Policy: 9, Upstreams: 99}, start)
 	is.True(!ok)
-	_, ok = r.Newer(8, 95, start.Add(5*time.Second))
+	_, ok = r.Newer(core.Revisions{Policy: 8, Upstreams: 95}, start.Add(5*time.Second))
 	is.True(!ok) // no longer live
 }
 
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -17,6 +17,8 @@
 	mu       sync.Mutex
 	answered time.Time
 	failed   time.Time
+	// reached is when the store was last known to be reachable.
+	reached time.Time
 }
 
 // setAnswered reports whether the store answers again after failures.
@@ -25,6 +27,7 @@
 	defer c.mu.Unlock()
 	isBack := c.failed.After(c.answered)
 	c.answered = now
+	c.reached = now
 	return isBack
 }
 
@@ -44,6 +47,35 @@
 	return c.answered.After(c.failed) && now.Sub(c.answered) < confirmedFor
 }
 
+// setReached states that the store could be reached.
+func (c *contact) setReached(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reached = now
+}
+
+// confirm states that the copy is as new as that of a host that reads the store.
+func (c *contact) confirm(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = now
+}
+
+// unreach states that this host has not reached the store itself lately.
+func (c *contact) unreach() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reached = time.Time{}
+}
+
+// storeAge returns how long ago the store was reached, and whether the host's
+// reads work since.
+func (c *contact) storeAge(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.reached), c.answered.After(c.failed)
+}
+
 // age returns the time since the last answer.
 func (c *contact) age(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -94,6 +94,11 @@
 	Seeds []string
 	// SnapshotAddress returns where another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
+	// SetReading starts and stops the reads that are handed to Take; nil means
+	// that this host always reads.
+	SetReading func(isReading bool)
+	// ReachStore makes a cheap call to the store; nil where there is none.
+	ReachStore func() error
 	// Unregister takes the host off the list that others read; nil where there
 	// is none.
 	Unregister func()
@@ -111,10 +116,14 @@
 	hosts     atomic.Int64
 	isLeaving atomic.Bool
 	isReady   atomic.Bool
-	contact   contact
-	cold      coldList
-	prober    prober
-	urgent    chan struct{}
+	// isFollowing says that another host reads the store for this one.
+	isFollowing atomic.Bool
+	contact     contact
+	cold        coldList
+	prober      prober
+	urgent      chan struct{}
+	// near asks for a heartbeat to the hosts of the own zone.
+	near chan struct{}
 }
 
 // Init prepares the host. Call it once, before any other method.
@@ -132,6 +141,7 @@
 		Allowance: c.Bounds.RetryAllowance,
 	}
 	c.urgent = make(chan struct{}, 1)
+	c.near = make(chan struct{}, 1)
 	c.roster = &roster.Roster{Self: c.Self}
 	c.exchanger = &exchanger.Exchanger{
 		Fields:         c.UpstreamFields,
@@ -170,6 +180,8 @@
 	group.Go(func() { c.prepare(background) })
 	group.Go(func() { c.checkSuspects(background) })
 	group.Go(func() { c.checkNear(background) })
+	group.Go(func() { c.follow(background) })
+	group.Go(func() { c.probe(background) })
 	defer c.prober.wait()
 
 	serving, endServing := context.WithCancel(context.Background())
@@ -251,9 +263,10 @@
 	return policy.HomesOf(name)
 }
 
-// Snapshot returns the host's copy of the store as other hosts read it.
-func (c *Controller) Snapshot() ([]byte, error) {
-	return heartbeater.EncodeSnapshot(c.replicator.Snapshot())
+// Snapshot returns what the host's copy of the store has beyond the given
+// revisions, as other hosts read it.
+func (c *Controller) Snapshot(held core.Revisions, now time.Time) ([]byte, error) {
+	return heartbeater.EncodeSnapshot(c.replicator.Changes(held, now))
 }
 
 // maxConnections returns this host's part of an upstream's connections; 0
--- /dev/null
+++ b/entry/controller/follow_test.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/replicator"
+	"github.com/endiverun/endiverun/core/roster"
+	"github.com/endiverun/endiverun/entry/heartbeater"
+)
+
+// serveSnapshots serves the copy of a host, and returns the address.
+func serveSnapshots(t *testing.T, c *Controller) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		held := heartbeater.DecodeHeld(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
+		data, err := c.Snapshot(held, time.Now())
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetBody(data)
+	}}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
+// TestFollowReader is the pattern of a zone whose reader learns of a change and
+// then falls silent: the other hosts have its copy, and turn to the store.
+func TestFollowReader(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	reader, follower := newController("reader", upstream), newController("follower", upstream)
+	var isReading atomic.Bool
+	isReading.Store(true)
+	follower.SetReading = isReading.Store
+	address := serveSnapshots(t, reader)
+	follower.SnapshotAddress = func(core.Host) string { return address }
+	beat := func() {
+		now := time.Now()
+		for i := range 30 { // a large fleet, all of another zone but the reader
+			h := core.Host{Name: core.HostName("far-" + strconv.Itoa(i)), Zone: core.Zone{Name: "nat-a", Region: "nat"}}
+			follower.roster.Hear(roster.Heartbeat{Host: h, Ready: true}, now)
+		}
+		revisions := reader.replicator.Snapshot().Revisions()
+		follower.roster.Hear(roster.Heartbeat{Host: reader.Self, Ready: true, Reads: true, Revisions: revisions}, now)
+	}
+	beat()
+	if _, _, ok := follower.roster.Reader(time.Now()); !ok {
+		t.Fatal("the names make the follower the reader of the zone")
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.follow(ctx)
+	}()
+	upstream.Draining = true
+	reader.Take(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 2, List: []core.Upstream{upstream}}}, time.Now())
+	beat()
+	for !follower.replicator.Snapshot().Upstreams.List[0].Draining {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!isReading.Load())
+	for !isReading.Load() { // no further heartbeat
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-done
+}
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -11,11 +11,12 @@
 // observe adds the gauges of the host.
 func (c *Controller) observe() {
 	gauges := map[string]func() float64{
-		"in_flight":       func() float64 { return float64(c.forwarder.InFlight()) },
-		"is_ready":        func() float64 { return truth(c.TakesRequests()) },
-		"policy_version":  func() float64 { return float64(c.replicator.Snapshot().Version()) },
-		"store_revision":  func() float64 { return float64(c.replicator.Snapshot().Revision()) },
-		"store_confirmed": func() float64 { return truth(c.contact.isConfirmed(time.Now())) },
+		"in_flight":          func() float64 { return float64(c.forwarder.InFlight()) },
+		"reads_store":        func() float64 { return truth(!c.isFollowing.Load()) },
+		"is_ready":           func() float64 { return truth(c.TakesRequests()) },
+		"policy_version":     func() float64 { return float64(c.replicator.Snapshot().Revisions().Policy) },
+		"upstreams_revision": func() float64 { return float64(c.replicator.Snapshot().Revisions().Upstreams) },
+		"store_confirmed":    func() float64 { return truth(c.contact.isConfirmed(time.Now())) },
 		"store_age_seconds": func() float64 {
 			return c.contact.age(time.Now()).Seconds()
 		},
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -49,9 +49,15 @@
 		c.roster.Register(h.List, now)
 	}
 	if current.IsComplete() && c.isReady.CompareAndSwap(false, true) {
-		c.Log.Event(logger.HostReady).Uint64("policy", current.Version()).Send()
+		c.Log.Event(logger.HostReady).Uint64("policy", current.Revisions().Policy).Send()
 		c.roster.SetReady(!c.isLeaving.Load())
 	}
+	if c.roster.IsReader(now) {
+		select {
+		case c.near <- struct{}{}:
+		default: // a heartbeat is due already
+		}
+	}
 }
 
 func (c *Controller) beat(ctx context.Context) {
@@ -61,6 +67,7 @@
 		Self:    c.heartbeat,
 		OnHear:  c.hear,
 		Urgent:  c.urgent,
+		Near:    c.near,
 		OnFault: func(from string, err error) {
 			c.Log.Event(logger.PeerRejected).Str("peer", from).Err(err).Send()
 		},
@@ -71,14 +78,15 @@
 }
 
 func (c *Controller) heartbeat() roster.Heartbeat {
-	snapshot := c.replicator.Snapshot()
-	return roster.Heartbeat{
-		Host:          c.Self,
-		Ready:         c.TakesRequests(),
-		PolicyVersion: snapshot.Version(),
-		StoreRevision: snapshot.Revision(),
-		Cold:          c.cold.left(time.Now()),
+	now := time.Now()
+	beat := roster.Heartbeat{
+		Host:      c.Self,
+		Ready:     c.TakesRequests(),
+		Revisions: c.replicator.Snapshot().Revisions(),
+		Cold:      c.cold.left(now),
 	}
+	c.readerPart(&beat, now)
+	return beat
 }
 
 // upkeep runs what is due from time to time.
@@ -126,7 +134,7 @@
 		return
 	}
 	for _, address := range c.sources(now) {
-		update, err := c.fetcher.Fetch(address)
+		update, err := c.fetcher.Fetch(address, c.replicator.Snapshot().Revisions())
 		if err != nil {
 			c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 			continue
@@ -141,7 +149,7 @@
 	if !snapshot.IsComplete() {
 		return c.Seeds
 	}
-	peer, ok := c.roster.Newer(snapshot.Version(), snapshot.Revision(), now)
+	peer, ok := c.roster.Newer(snapshot.Revisions(), now)
 	if !ok || c.SnapshotAddress == nil {
 		return nil
 	}
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -114,6 +114,9 @@
 	MaxConnections func(service core.ServiceName) int
 
 	pool pool
+	// idleLimits are the times for which the upstreams of a service keep idle
+	// connections, as their answers stated last.
+	idleLimits table[core.ServiceName, time.Duration]
 }
 
 // Do runs an attempt and returns when its outcome is known. When ctx ends the
@@ -201,6 +204,9 @@
 	}
 	conn := newConnection(raw)
 	conn.dialed = time.Since(now)
+	if limit, ok := e.idleLimits.get(upstream.Service); ok {
+		conn.idle = limit
+	}
 	return conn, nil
 }
 
@@ -243,6 +249,9 @@
 	}
 	result := e.judge(response)
 	reusable := !response.ConnectionClose() && conn.setIdleLimit(response)
+	if reusable {
+		e.idleLimits.put(attempt.Upstream.Service, conn.idle)
+	}
 	if result.Response == nil {
 		fasthttp.ReleaseResponse(response)
 	}
--- a/entry/exchanger/exchanger_test.go
+++ b/entry/exchanger/exchanger_test.go
@@ -365,3 +365,21 @@
 	is.Equal(result.State, core.Answered)
 	result.Close()
 }
+
+// TestPreparedConnectionIsKept is the pattern of a fleet whose hosts use each
+// upstream rarely: a connection opened ahead is kept for as long as the upstreams
+// of the service said, not opened anew every few seconds.
+func TestPreparedConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	first := serve(t, reply(whole))
+	second := serve(t, reply(whole), func(net.Conn, *bufio.Reader) { t.Error("a second connection") })
+	e := newExchanger()
+	answer := e.Do(t.Context(), attempt(first, ""))
+	answer.Close()
+	is.NoErr(e.Prepare(second, time.Second))
+	e.CloseExpired(time.Now().Add(6 * time.Second)) // whole states 10 s
+	answer = e.Do(t.Context(), attempt(second, ""))
+	defer answer.Close()
+	is.Equal(answer.State, core.Answered)
+	e.Close()
+}
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -44,6 +44,8 @@
 	OnHear func(beat roster.Heartbeat)
 	// Urgent asks for a heartbeat to all hosts at once.
 	Urgent <-chan struct{}
+	// Near asks for a heartbeat to the hosts of the own zone at once.
+	Near <-chan struct{}
 	// Listen opens the socket; nil means UDP.
 	Listen func(address string) (net.PacketConn, error)
 	// OnFault gets what was wrong with a datagram; nil ignores it.
@@ -92,6 +94,8 @@
 			h.tell(socket, h.Roster.Turn(h.turn, time.Now()))
 		case <-h.Urgent:
 			h.tell(socket, h.Roster.Peers(time.Now()))
+		case <-h.Near:
+			h.tell(socket, h.Roster.ZonePeers(time.Now()))
 		}
 	}
 }
--- a/entry/heartbeater/heartbeater_test.go
+++ b/entry/heartbeater/heartbeater_test.go
@@ -48,8 +48,10 @@
 		r := &roster.Roster{Self: h.self}
 		rosters[string(h.self.Name)] = r
 		beater := &heartbeater.Heartbeater{
-			Roster:  r,
-			Self:    func() roster.Heartbeat { return roster.Heartbeat{Host: h.self, Ready: true, PolicyVersion: 7} },
+			Roster: r,
+			Self: func() roster.Heartbeat {
+				return roster.Heartbeat{Host: h.self, Ready: true, Revisions: core.Revisions{Policy: 7}}
+			},
 			Listen:  func(string) (net.PacketConn, error) { return h.conn, nil },
 			OnFault: func(from string, _ error) { faults <- from },
 		}
@@ -64,8 +66,8 @@
 	is.Equal(<-faults, stray.LocalAddr().String())
 	is.NoErr(stray.Close())
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		_, first := rosters["host-1"].Newer(0, 0, time.Now())
-		_, second := rosters["host-2"].Newer(0, 0, time.Now())
+		_, first := rosters["host-1"].Newer(core.Revisions{}, time.Now())
+		_, second := rosters["host-2"].Newer(core.Revisions{}, time.Now())
 		if first && second {
 			break
 		}
@@ -83,7 +85,9 @@
 	is := is.New(t)
 	conn := socket(t)
 	defer func() { _ = conn.Close() }()
-	beat := roster.Heartbeat{Host: host("frontend-slz-a-11", conn), Ready: true, PolicyVersion: 1 << 20, StoreRevision: 1 << 30}
+	beat := roster.Heartbeat{Host: host("frontend-slz-a-11", conn), Ready: true, Revisions: core.Revisions{
+		Policy: 1 << 20, Upstreams: 1 << 30, Evacuations: 1 << 30, Hosts: 1 << 30,
+	}, Reads: true, StoreAge: 1000}
 	data, err := cbor.Marshal(beat)
 	is.NoErr(err)
 	is.True(len(data) <= 130)
--- a/entry/heartbeater/snapshot.go
+++ b/entry/heartbeater/snapshot.go
@@ -1,6 +1,8 @@
 package heartbeater
 
 import (
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,12 +12,53 @@
 	"github.com/endiverun/endiverun/core/replicator"
 )
 
-// SnapshotPath is where a host serves its copy of the store to other hosts.
+// SnapshotPath is where a host serves its copy of the store to other hosts. The
+// query names what the asking host holds; without one the copy is whole.
 const SnapshotPath = "/v1/snapshot"
 
+// Names of the query of SnapshotPath.
 const (
-	// fetchTimeout bounds the fetch of a copy.
-	fetchTimeout = time.Second
+	queryPolicy      = "policy"
+	queryUpstreams   = "upstreams"
+	queryEvacuations = "evacuations"
+	queryHosts       = "hosts"
+	queryLapsed      = "has-lapsed"
+)
+
+// EncodeHeld returns the query that names what a host holds.
+func EncodeHeld(held core.Revisions) string {
+	query := url.Values{}
+	query.Set(queryPolicy, strconv.FormatUint(held.Policy, 10))
+	query.Set(queryUpstreams, strconv.FormatUint(held.Upstreams, 10))
+	query.Set(queryEvacuations, strconv.FormatUint(held.Evacuations, 10))
+	query.Set(queryHosts, strconv.FormatUint(held.Hosts, 10))
+	query.Set(queryLapsed, strconv.FormatBool(held.HasLapsed))
+	return query.Encode()
+}
+
+// DecodeHeld returns what a query names. What it does not name, or not as a
+// number, counts as never read, so that the answer holds it.
+func DecodeHeld(query func(name string) string) core.Revisions {
+	number := func(name string) uint64 {
+		value, err := strconv.ParseUint(query(name), 10, 64)
+		if err != nil {
+			return 0
+		}
+		return value
+	}
+	return core.Revisions{
+		Policy:      number(queryPolicy),
+		Upstreams:   number(queryUpstreams),
+		Evacuations: number(queryEvacuations),
+		Hosts:       number(queryHosts),
+		HasLapsed:   query(queryLapsed) == "true",
+	}
+}
+
+const (
+	// fetchTimeout bounds the fetch of a copy. A host that follows a silent one
+	// must turn to the store in time.
+	fetchTimeout = 500 * time.Millisecond
 	// maxSnapshot bounds a copy.
 	maxSnapshot = 16 * core.Mebibyte
 )
@@ -25,15 +68,14 @@
 	client fasthttp.Client
 }
 
-// Fetch returns the copy of the host at an address. The error is of type
-// core.ErrPeer.
-func (f *Fetcher) Fetch(address string) (replicator.Snapshot, error) {
+// Fetch returns what the copy of the host at an address has beyond the given
+// revisions. The error is of type core.ErrPeer.
+func (f *Fetcher) Fetch(address string, held core.Revisions) (replicator.Snapshot, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + SnapshotPath)
-	request.SetConnectionClose()
+	request.SetRequestURI("http://" + address + SnapshotPath + "?" + EncodeHeld(held))
 	f.client.MaxResponseBodySize = int(maxSnapshot)
 	if err := f.client.DoTimeout(request, response, fetchTimeout); err != nil {
 		return replicator.Snapshot{}, core.ErrPeer.Wrap(err, "snapshot from %s", address)
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -42,10 +42,12 @@
 	TicketUnreadable = Event{203, "ticket-unreadable", zerolog.ErrorLevel, "A stored ticket cannot be read; later ones wait."}
 	SnapshotWritten  = Event{204, "snapshot-written", zerolog.InfoLevel, "A snapshot of the configuration was stored."}
 
-	PlatformLost  = Event{300, "platform-lost", zerolog.WarnLevel, "The platform's store gives no usable answers."}
-	PlatformFound = Event{301, "platform-found", zerolog.InfoLevel, "The platform's store answers again."}
-	SlotTaken     = Event{302, "slot-taken", zerolog.InfoLevel, "The host holds a slot of its region's links."}
-	SlotLost      = Event{303, "slot-lost", zerolog.WarnLevel, "The host may not send to other regions."}
+	PlatformLost   = Event{300, "platform-lost", zerolog.WarnLevel, "The platform's store gives no usable answers."}
+	PlatformFound  = Event{301, "platform-found", zerolog.InfoLevel, "The platform's store answers again."}
+	ReaderFollowed = Event{304, "reader-followed", zerolog.InfoLevel, "Another host of the zone reads the store for this one."}
+	StoreRead      = Event{305, "store-read", zerolog.InfoLevel, "The host reads the store itself again."}
+	SlotTaken      = Event{302, "slot-taken", zerolog.InfoLevel, "The host holds a slot of its region's links."}
+	SlotLost       = Event{303, "slot-lost", zerolog.WarnLevel, "The host may not send to other regions."}
 
 	PeerSilent   = Event{400, "peer-silent", zerolog.WarnLevel, "A connection to another host was replaced after silence."}
 	PeerRejected = Event{401, "peer-rejected", zerolog.WarnLevel, "Another host sent what cannot be read."}
@@ -83,7 +85,7 @@
 var Events = []Event{
 	HostStarted, HostReady, HostLeaving, HostStopped, HostCutOff,
 	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
-	PlatformLost, PlatformFound, SlotTaken, SlotLost,
+	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamBroken, RequestUnknown,
 	RequestRetried, RequestRefused, UpstreamFailed,
--- a/entry/watcher/gate.go
+++ b/entry/watcher/gate.go
@@ -26,11 +26,44 @@
 	open   chan struct{}
 	pause  time.Duration
 	asking bool
+	// needed is closed when the watchers are needed again; nil while they are.
+	needed chan struct{}
+}
+
+// SetNeeded states whether the watchers are needed. While another host reads the
+// store for this one they make no further calls.
+func (g *Gate) SetNeeded(isNeeded bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if isNeeded == (g.needed == nil) {
+		return
+	}
+	if isNeeded {
+		close(g.needed)
+		g.needed = nil
+		return
+	}
+	g.needed = make(chan struct{})
+}
+
+// awaitNeed waits until the watchers are needed, or ctx ends.
+func (g *Gate) awaitNeed(ctx context.Context) {
+	g.mu.Lock()
+	needed := g.needed
+	g.mu.Unlock()
+	if needed == nil {
+		return
+	}
+	select {
+	case <-needed:
+	case <-ctx.Done():
+	}
 }
 
 // enter waits until a call may be made, and reports whether the caller is the
 // one that asks a failing store. It returns false when ctx ends.
 func (g *Gate) enter(ctx context.Context) bool {
+	g.awaitNeed(ctx)
 	open, pause, isAsking := g.state()
 	if isAsking {
 		// Hosts that lost the store together do not ask it together.
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -109,3 +109,38 @@
 	w.Run(ctx)
 	is.Equal(lists, 2)
 }
+
+// TestNoCallsWhileNotNeeded is the pattern of a host whose zone has a reader: its
+// watchers make no calls until the reader fails, and then go on at once.
+func TestNoCallsWhileNotNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		calls := 0
+		ctx, stop := context.WithCancel(t.Context())
+		w := &Watcher[int]{
+			Gate: &Gate{},
+			Wait: time.Second,
+			List: func() (List[int], error) { return List[int]{Objects: map[string]int{}, Revision: 1}, nil },
+			Watch: func(after uint64, wait time.Duration) (Changes[int], error) {
+				calls++
+				time.Sleep(wait)
+				return Changes[int]{Revision: after}, nil
+			},
+			OnChange:  func(map[string]int, uint64) {},
+			OnAnswer:  func() {},
+			OnFailure: func(error) {},
+		}
+		var group conc.WaitGroup
+		group.Go(func() { w.Run(ctx) })
+		time.Sleep(500 * time.Millisecond)
+		w.Gate.SetNeeded(false)
+		time.Sleep(time.Minute)
+		is.Equal(calls, 1) // the watch that waited already
+		w.Gate.SetNeeded(true)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(calls, 2)
+		stop()
+		time.Sleep(time.Minute)
+		group.Wait()
+	})
+}
