--- /dev/null
+++ b/entry/publisher/publisher_test.go
@@ -0,0 +1,66 @@
+package publisher_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/logger"
+	"github.com/endiverun/endiverun/entry/meter"
+	"github.com/endiverun/endiverun/entry/publisher"
+)
+
+// freeAddress returns an address that nothing serves.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// TestMetrics reads the metrics in both forms.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	m := meter.New()
+	m.Count(meter.Retries, meter.Labels{Service: "desk"})
+	p := &publisher.Publisher{Log: logger.New(io.Discard, "error", core.Host{})}
+	address := freeAddress(t)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Serve(ctx, address, publisher.Metrics(m))
+	}()
+	tests := []struct{ path, want string }{
+		{"/metrics", `endiverun_retries_total{service="desk"} 1`},
+		{"/debug/vars", `"retries":[{"labels":{"service":"desk"},"count":1}]`},
+	}
+	for _, tt := range tests {
+		body := get(t, "http://"+address+tt.path)
+		is.True(strings.Contains(body, tt.want))
+	}
+	stop()
+	<-done
+}
+
+// get reads a URL as soon as it is served.
+func get(t *testing.T, url string) string {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if status, body, err := fasthttp.Get(nil, url); err == nil && status == fasthttp.StatusOK {
+			return string(body)
+		}
+	}
+	t.Fatal("not served: " + url)
+	return ""
+}
--- /dev/null
+++ b/entry/watcher/decode.go
@@ -0,0 +1,42 @@
+package watcher
+
+import (
+	"maps"
+	"slices"
+)
+
+// DecodeList returns a list of what decode makes of the objects, without those
+// for which it returns false.
+func DecodeList[A, B any](list List[A], decode func(object A) (B, bool)) List[B] {
+	decoded := List[B]{Objects: make(map[string]B, len(list.Objects)), Revision: list.Revision}
+	for name, object := range list.Objects {
+		if value, ok := decode(object); ok {
+			decoded.Objects[name] = value
+		}
+	}
+	return decoded
+}
+
+// DecodeChanges does the same for changes. An object for which decode returns
+// false is removed.
+func DecodeChanges[A, B any](changes Changes[A], decode func(object A) (B, bool)) Changes[B] {
+	decoded := Changes[B]{Revision: changes.Revision}
+	for _, c := range changes.List {
+		change := Change[B]{Name: c.Name, IsRemoved: true}
+		if !c.IsRemoved {
+			value, ok := decode(c.Object)
+			change.Object, change.IsRemoved = value, !ok
+		}
+		decoded.List = append(decoded.List, change)
+	}
+	return decoded
+}
+
+// Sorted returns objects in the order of their names.
+func Sorted[T any](objects map[string]T) []T {
+	list := make([]T, 0, len(objects))
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		list = append(list, objects[name])
+	}
+	return list
+}
