Explain a request from the logs of hosts; take changed settings while running

Cause: an id led to lines only by searching, without what the host believed; times in logs had whole seconds; SIGHUP only checked the settings. Times have milliseconds, the bound of a log is 50 lines a second and event.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -47,6 +47,13 @@
 	next  map[core.UpstreamName]time.Time
 }
 
+// SetBound changes the bound.
+func (p *Pacer) SetBound(overage, slack float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Overage, p.Slack = overage, slack
+}
+
 // SetHosts states which hosts may send, this one included. It names the most
 // that may be alive, since a host that is only silent still sends.
 func (p *Pacer) SetHosts(hosts []core.HostName) {
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -75,6 +75,13 @@
 	return (step%steps + steps) % steps
 }
 
+// SetBudget changes the budget. The window stays as it is while hosts run.
+func (r *Retrier) SetBudget(fraction, allowance float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Fraction, r.Allowance = fraction, allowance
+}
+
 // SetHosts states how many hosts share the allowance.
 func (r *Retrier) SetHosts(n int) {
 	r.mu.Lock()
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -90,7 +90,7 @@
 	// Tracer makes spans; nil makes none.
 	Tracer *tracer.Tracer
 	// Seeds are addresses of hosts that may serve a snapshot to one that has
-	// read nothing yet.
+	// read nothing yet. SetSeeds changes them while the host runs.
 	Seeds []string
 	// SnapshotAddress returns where another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
@@ -112,6 +112,8 @@
 	forwarder  *forwarder.Forwarder
 	fetcher    heartbeater.Fetcher
 
+	seeds     atomic.Pointer[[]string]
+	grace     atomic.Int64
 	policy    atomic.Pointer[core.RoutingPolicy]
 	hosts     atomic.Int64
 	isLeaving atomic.Bool
@@ -163,6 +165,8 @@
 		OnRetry:     c.noteRetry,
 		OnRefusal:   c.noteRefusal,
 	}
+	c.seeds.Store(&c.Seeds)
+	c.grace.Store(int64(c.Bounds.Grace))
 	c.observe()
 }
 
@@ -200,6 +204,18 @@
 	return err
 }
 
+// SetBounds changes the bounds of a running host, but for the window of retries.
+func (c *Controller) SetBounds(bounds Bounds) {
+	c.retrier.SetBudget(bounds.RetryFraction, bounds.RetryAllowance)
+	c.pacer.SetBound(bounds.WarmUpOverage, bounds.WarmUpSlack)
+	c.grace.Store(int64(bounds.Grace))
+}
+
+// SetSeeds changes the seeds of a running host.
+func (c *Controller) SetSeeds(seeds []string) {
+	c.seeds.Store(&seeds)
+}
+
 // leave tells everyone that the host takes no more requests, and waits until
 // clients have heard of it.
 func (c *Controller) leave() {
@@ -214,12 +230,12 @@
 }
 
 func (c *Controller) linger() time.Duration {
-	return min(lingerTime, c.Bounds.Grace/lingerPart)
+	return min(lingerTime, time.Duration(c.grace.Load())/lingerPart)
 }
 
 // stopTime returns how long open requests may take after the host left.
 func (c *Controller) stopTime() time.Duration {
-	return max(c.Bounds.Grace-c.linger()-stopMargin, stopMargin)
+	return max(time.Duration(c.grace.Load())-c.linger()-stopMargin, stopMargin)
 }
 
 // limitMemory makes the garbage collector work harder near the limit.
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -147,7 +147,7 @@
 func (c *Controller) sources(now time.Time) []string {
 	snapshot := c.replicator.Snapshot()
 	if !snapshot.IsComplete() {
-		return c.Seeds
+		return *c.seeds.Load()
 	}
 	peer, ok := c.roster.Newer(snapshot.Revisions(), now)
 	if !ok || c.SnapshotAddress == nil {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -108,14 +108,21 @@
 	if err != nil {
 		parsed = zerolog.InfoLevel
 	}
-	base := zerolog.New(w).Level(parsed).With().
-		Timestamp().
+	base := zerolog.New(w).Level(parsed).Hook(zerolog.HookFunc(stamp)).With().
 		Str("host", string(host.Name)).
 		Str("incarnation", host.Incarnation.String()).
 		Logger()
 	return &Logger{base: base}
 }
 
+// timeLayout tells the events of one request apart.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp adds the time of day to an event.
+func stamp(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeLayout))
+}
+
 // NewBounded returns a logger that never delays its callers and writes at most
 // a steady number of lines of each event. Close it at the end.
 func NewBounded(w io.Writer, level string, host core.Host) *Logger {
--- a/entry/logger/queue.go
+++ b/entry/logger/queue.go
@@ -13,8 +13,8 @@
 	// queueLines is how many lines wait for a slow writer.
 	queueLines = 1024
 	// linesPerSecond and lineBurst bound the lines of one event.
-	linesPerSecond = 20
-	lineBurst      = 200
+	linesPerSecond = 50
+	lineBurst      = 400
 	// summaryEvery is the time between two summaries of what was left out.
 	summaryEvery = 5 * time.Second
 )
--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -32,8 +32,7 @@
 
 // Serve serves the routes on an IP address and port until ctx ends.
 func (p *Publisher) Serve(ctx context.Context, address string, routes func(*fiber.App)) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", address)
+	listener, err := Listen(address)
 	if err != nil {
 		p.Log.Event(logger.ListenFailed).Str("address", address).Err(err).Send()
 		return
@@ -51,6 +50,12 @@
 	}
 }
 
+// Listen opens the socket of an IP address and port.
+func Listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(context.Background(), "tcp4", address)
+}
+
 // Metrics returns the routes of a registry: text for collectors, and JSON in the
 // manner of expvar.
 func Metrics(m *meter.Meter) func(*fiber.App) {
--- /dev/null
+++ b/operator/explainer/explainer_test.go
@@ -0,0 +1,43 @@
+package explainer_test
+
+import (
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/operator/explainer"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestExplain follows a client's request that came to two hosts.
+func TestExplain(t *testing.T) {
+	for _, request := range []string{"q-1", "q-3"} {
+		t.Run(request, func(t *testing.T) {
+			is := is.New(t)
+			var logs []io.Reader
+			for _, name := range []string{"host-2.log", "host-1.log"} {
+				file, err := os.Open(filepath.Join("testdata", name))
+				is.NoErr(err)
+				defer func() { _ = file.Close() }()
+				logs = append(logs, file)
+			}
+			life, err := explainer.Explain(request, logs)
+			is.NoErr(err)
+			var text strings.Builder
+			is.NoErr(life.Write(&text))
+			golden := filepath.Join("testdata", request+".txt")
+			if *update {
+				is.NoErr(os.WriteFile(golden, []byte(text.String()), 0o600))
+			}
+			want, err := os.ReadFile(golden)
+			is.NoErr(err)
+			is.Equal(text.String(), string(want))
+		})
+	}
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -5,6 +5,7 @@
 //	endiverun --hosts 127.22.1.10:18080 ticket apply ticket.json --wait
 //	endiverun --hosts 127.22.1.10:18080 status
 //	endiverun --hosts 127.22.1.10:18080 explain fitchart --zone nl-south-a
+//	endiverun explain 9c41d07be2a35f68 --log host-1.log --log host-2.log
 //
 // Exit codes: 0 success; 1 no host answered, or it failed; 2 bad arguments or a
 // ticket with problems; 3 the ticket's number was taken by another; 4 the
@@ -15,6 +16,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -22,6 +24,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/operator/asker"
+	"github.com/endiverun/endiverun/operator/explainer"
 	"github.com/endiverun/endiverun/operator/printer"
 )
 
@@ -36,9 +39,12 @@
 // errBehind reports that a ticket is not in force everywhere yet.
 var errBehind = errors.New("the ticket is accepted and not in force everywhere yet")
 
+// errNoHosts reports that no host was named.
+var errNoHosts = errors.New("name hosts with --hosts or ENDIVERUN_HOSTS")
+
 // globals are the flags of all commands.
 type globals struct {
-	Hosts   []string      `help:"Client addresses of entry hosts, tried in order." env:"ENDIVERUN_HOSTS" required:""`
+	Hosts   []string      `help:"Client addresses of entry hosts, tried in order." env:"ENDIVERUN_HOSTS"`
 	Token   string        `help:"Operators' token." env:"ENDIVERUN_TOKEN"`
 	Timeout time.Duration `help:"Limit of one call." default:"5s"`
 	JSON    bool          `help:"Write JSON for programs." name:"json"`
@@ -54,7 +60,7 @@
 
 	Ticket  ticketCommand  `cmd:"" help:"Change tickets."`
 	Status  statusCommand  `cmd:"" help:"Show the views of all given hosts."`
-	Explain explainCommand `cmd:"" help:"Show what a client's request would use now, and why."`
+	Explain explainCommand `cmd:"" help:"Show what a request to a service would use now, or from logs what became of one."`
 }
 
 type ticketCommand struct {
@@ -139,6 +145,9 @@
 
 // Run shows the views of hosts.
 func (*statusCommand) Run(g *globals) error {
+	if len(g.Hosts) == 0 {
+		return errNoHosts
+	}
 	a := g.asker()
 	var statuses []asker.Status
 	var failures []error
@@ -160,13 +169,17 @@
 }
 
 type explainCommand struct {
-	Service string `arg:"" help:"Service."`
-	Zone    string `help:"Availability zone of the client."`
+	Subject string   `arg:"" help:"Service, or with --log the id of a request."`
+	Zone    string   `help:"Availability zone of the client."`
+	Log     []string `help:"Logs of hosts." type:"existingfile"`
 }
 
 // Run explains a request.
 func (c *explainCommand) Run(g *globals) error {
-	explanation, err := g.asker().Explain(c.Service, c.Zone)
+	if len(c.Log) > 0 {
+		return explainFromLogs(g, c.Subject, c.Log)
+	}
+	explanation, err := g.asker().Explain(c.Subject, c.Zone)
 	if err != nil {
 		return err
 	}
@@ -176,6 +189,27 @@
 	return printer.Explanation(os.Stdout, explanation)
 }
 
+// explainFromLogs writes what became of a request.
+func explainFromLogs(g *globals, request string, paths []string) error {
+	var logs []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }() // It was only read.
+		logs = append(logs, file)
+	}
+	life, err := explainer.Explain(request, logs)
+	if err != nil {
+		return err
+	}
+	if g.JSON {
+		return writeJSON(life)
+	}
+	return life.Write(os.Stdout)
+}
+
 func writeJSON(value any) error {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
