Tell all hosts of upstreams that answer no check while the store is away; count what was sent before

And a host's share began anew when it learned of the coldness. Change: an upstream of the own region without an answer in 0.2 s counts as cold for a second at all hosts; checks every 0.15 s; the share of a cold upstream's bound covers what the host sent it in the last second.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -9,7 +9,7 @@
 //
 //	p := &pacer.Pacer{Self: name, Overage: 1.5, Slack: 5}
 //	p.SetHosts(names)
-//	if p.Take(upstream, rate, now) { /* send */ }
+//	if p.Take(upstream, rate, recent, now) { /* send */ }
 //
 // Lock order: Pacer.mu is a leaf.
 package pacer
@@ -63,12 +63,14 @@
 }
 
 // Take reserves one request to a cold upstream that tolerates the given rate
-// a second, and reports whether this host may send it now.
-func (p *Pacer) Take(upstream core.UpstreamName, rate float64, now time.Time) bool {
+// a second, and reports whether this host may send it now. Recent is how many
+// requests the host sent it in the last second: those that it sent before it
+// learned that the upstream is cold count as well.
+func (p *Pacer) Take(upstream core.UpstreamName, rate float64, recent int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	share := p.share(upstream, rate)
-	if share < 1 || now.Before(p.next[upstream]) {
+	if share < 1 || float64(recent+1) > share || now.Before(p.next[upstream]) {
 		return false
 	}
 	if p.next == nil {
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -32,7 +32,7 @@
 		for step := range 40 {
 			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
 			for _, h := range hosts {
-				if h.Take("upstream", rate, now) {
+				if h.Take("upstream", rate, 0, now) {
 					sent = append(sent, now)
 				}
 			}
@@ -63,7 +63,7 @@
 	for _, name := range names {
 		p := &pacer.Pacer{Self: name, Overage: 1.5, Slack: 8}
 		p.SetHosts(names)
-		if p.Take("upstream", 6.9, time.Unix(1000, 0)) {
+		if p.Take("upstream", 6.9, 0, time.Unix(1000, 0)) {
 			senders++
 		}
 	}
@@ -76,5 +76,5 @@
 func TestUnknownHostsTakeNothing(t *testing.T) {
 	is := is.New(t)
 	p := &pacer.Pacer{Self: "host-1", Overage: 1.5, Slack: 5}
-	is.True(!p.Take("upstream", 100, time.Unix(1000, 0)))
+	is.True(!p.Take("upstream", 100, 0, time.Unix(1000, 0)))
 }
--- /dev/null
+++ b/core/placer/late_test.go
@@ -0,0 +1,55 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/placer"
+)
+
+// TestColdnessIsLearnedLate is the pattern of an upstream that becomes cold
+// under load while the store is away, so that hosts learn of it half a second
+// later: what they sent before they knew counts against the bound as well.
+func TestColdnessIsLearnedLate(t *testing.T) {
+	const (
+		hosts = 4
+		// perSecond is the demand of each host, more than the bound all together.
+		perSecond = 10
+		learned   = 500 * time.Millisecond
+		bound     = 17*1.5 + 5.0
+	)
+	is := is.New(t)
+	others := []core.HostName{"host-1", "host-2", "host-3"}
+	list := upstreamsIn(1, "for-a")
+	var fleet []*placer.Placer
+	for range hosts {
+		fleet = append(fleet, newPlacer("for-a", list, others...))
+	}
+	var sent []time.Time
+	for at := time.Duration(0); at < 2*time.Second; at += time.Second / perSecond / hosts {
+		now := start.Add(at)
+		p := fleet[int(at/(time.Second/perSecond/hosts))%hosts]
+		if at >= learned {
+			p.MarkCold(list[0].Name, time.Minute, now)
+		}
+		if choice, ok := p.Choose(query("k"), now); ok {
+			p.Report(choice, placer.Report{Outcome: placer.Done, Run: 80 * time.Millisecond}, now)
+			sent = append(sent, now)
+		}
+	}
+	most := 0
+	for _, from := range sent {
+		n := 0
+		for _, at := range sent {
+			if !at.Before(from) && at.Sub(from) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	t.Logf("at most %d in a second, %.1f allowed", most, bound)
+	is.True(float64(most) <= bound)
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -221,7 +221,7 @@
 		i := found.best(p.moves.isAllowed(now))
 		c := found.list[i]
 		u := c.upstream
-		if u.isCold(s.policy.WarmUp, now) && !p.Pacer.Take(u.Name, s.policy.WarmUpRate, now) {
+		if u.isCold(s.policy.WarmUp, now) && !p.Pacer.Take(u.Name, s.policy.WarmUpRate, u.recent(now), now) {
 			u.wanted = now
 			found.list = append(found.list[:i], found.list[i+1:]...)
 			continue
@@ -337,15 +337,6 @@
 	return u.Upstream, isNews
 }
 
-// Suspect states that an upstream may be cold.
-func (p *Placer) Suspect(upstream core.Upstream, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if u := p.upstreams[upstream.Name]; u != nil && u.isSameLife(upstream) {
-		u.suspected = later(u.suspected, now)
-	}
-}
-
 // SuspectZone states that the upstreams of a zone may be cold.
 func (p *Placer) SuspectZone(zone core.ZoneName, now time.Time) {
 	p.mu.Lock()
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,6 +47,8 @@
 
 	inFlight int
 	used     time.Time
+	// sent are the times of the requests of the last second, oldest first.
+	sent []time.Time
 	// others is the load that the upstream reported beyond inFlight, at
 	// reported.
 	others   float64
@@ -79,6 +82,7 @@
 // begin counts an attempt on the object with the given key.
 func (u *upstream) begin(key uint64, now time.Time) {
 	u.inFlight++
+	u.recent(now) // forgets what is older
 	if len(u.known) >= knownObjects {
 		for k := range u.known {
 			delete(u.known, k)
@@ -87,6 +91,17 @@
 	}
 	u.known[key] = struct{}{}
 	u.used = now
+	u.sent = append(u.sent, now)
+}
+
+// recent returns how many requests were sent in the last second.
+func (u *upstream) recent(now time.Time) int {
+	old := 0
+	for old < len(u.sent) && now.Sub(u.sent[old]) >= time.Second {
+		old++
+	}
+	u.sent = slices.Delete(u.sent, 0, old)
+	return len(u.sent)
 }
 
 func (u *upstream) end() {
--- a/entry/controller/check.go
+++ b/entry/controller/check.go
@@ -15,12 +15,17 @@
 const (
 	// checkEvery is the time between two looks for upstreams that may be cold.
 	checkEvery = 100 * time.Millisecond
-	// checkTimeout bounds one health check.
-	checkTimeout = 300 * time.Millisecond
+	// checkTimeout bounds a health check of an upstream anywhere, and nearTimeout
+	// that of one in the own region, where a way takes little time.
+	checkTimeout = 500 * time.Millisecond
+	nearTimeout  = 200 * time.Millisecond
+	// silentCold is how long an upstream without an answer counts as cold, so
+	// that the next check renews it.
+	silentCold = time.Second
 	// nearEvery is the time between two checks of an upstream of the own region
 	// while the store is away. An upstream that becomes cold then is noticed
 	// within a fraction of the second in which its requests are bounded.
-	nearEvery = 250 * time.Millisecond
+	nearEvery = 150 * time.Millisecond
 	// askedFor is how long a check is remembered, longer than any warm-up.
 	askedFor = time.Minute
 )
@@ -66,7 +71,8 @@
 	now := time.Now()
 	for name, ms := range beat.Cold {
 		upstream, isNews := c.placer.MarkCold(name, time.Duration(ms)*time.Millisecond, now)
-		if isNews {
+		// A short time is that of a silent upstream, which says nothing of others.
+		if isNews && time.Duration(ms)*time.Millisecond > silentCold {
 			c.suspectZone(upstream, now)
 		}
 	}
@@ -87,7 +93,7 @@
 			if service.HealthPath == "" || now.Sub(asked[upstream.Name]) < service.WarmUp {
 				continue
 			}
-			if c.prober.start(upstream.Name, func() { c.check(upstream, service.HealthPath) }) {
+			if c.prober.start(upstream.Name, func() { c.check(upstream, service.HealthPath, checkTimeout) }) {
 				asked[upstream.Name] = now
 			}
 		}
@@ -96,24 +102,31 @@
 
 // check asks an upstream for how long it stays cold, and reports whether it
 // answered.
-func (c *Controller) check(upstream core.Upstream, path string) bool {
-	cold, err := c.exchanger.Check(upstream, path, checkTimeout)
+func (c *Controller) check(upstream core.Upstream, path string, timeout time.Duration) bool {
+	cold, err := c.exchanger.Check(upstream, path, timeout)
 	if err != nil {
 		c.Log.Event(logger.CheckFailed).Str("upstream", string(upstream.Name)).Err(err).Send()
 		return false
 	}
 	now := time.Now()
 	c.placer.Confirm(upstream, cold, now)
-	if cold <= 0 || !c.cold.add(upstream.Name, now.Add(cold), now) {
-		return true
+	if cold > 0 {
+		c.tellCold(upstream, cold, now)
+		c.suspectZone(upstream, now)
+	}
+	return true
+}
+
+// tellCold tells the other hosts that an upstream is cold.
+func (c *Controller) tellCold(upstream core.Upstream, cold time.Duration, now time.Time) {
+	if !c.cold.add(upstream.Name, now.Add(cold), now) {
+		return
 	}
 	c.Log.Event(logger.UpstreamCold).Str("upstream", string(upstream.Name)).Dur("left", cold).Send()
-	c.suspectZone(upstream, now)
 	select {
 	case c.urgent <- struct{}{}:
 	default: // a heartbeat is due already
 	}
-	return true
 }
 
 // suspectZone suspects the other upstreams of a zone in which one was found
@@ -125,6 +138,13 @@
 	}
 }
 
+// spareSilent treats an upstream without an answer as cold: one that became cold
+// under load queues its health checks behind requests that take long.
+func (c *Controller) spareSilent(upstream core.Upstream, now time.Time) {
+	c.placer.MarkCold(upstream.Name, silentCold, now)
+	c.tellCold(upstream, silentCold, now)
+}
+
 // checkNear asks the upstreams of the own region while the store is away, since
 // the host cannot learn then that a zone was evacuated and its upstreams became
 // cold. One host of the region asks each, and tells the others. An upstream
@@ -141,8 +161,8 @@
 				continue
 			}
 			c.prober.start(upstream.Name, func() {
-				if !c.check(upstream, path) {
-					c.placer.Suspect(upstream, time.Now())
+				if !c.check(upstream, path, nearTimeout) {
+					c.spareSilent(upstream, time.Now())
 				}
 			})
 		}
