--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/endiverun/endiverun/core"
 )
 
 const (
@@ -48,32 +46,14 @@
 }
 
 // candidates returns the upstreams that hold the copies of the key's object, with
-// their costs.
+// their costs. Those that cannot be reached are left out unless there are no
+// others.
 func (p *Placer) candidates(s *service, query Query, key uint64, now time.Time) candidates {
-	usable := p.usable(s, query, now)
-	if len(usable) == 0 {
-		return candidates{}
-	}
-	work := s.work.or(defaultWork)
-	found := candidates{gain: time.Duration(moveGain * float64(work))}
-	regions := byRegion(usable)
-	order := s.plan.order(key, p.Zone.Region, usable)
-	for i, region := range order {
-		// Where one region is left, it holds all copies.
-		n := 1
-		if i == len(order)-1 {
-			n = copies - len(found.list)
-		}
-		for rank, c := range first(regions[region], key, n) {
-			c.isMoved = i > 0
-			c.isPlanned = rank == 0 && !c.isMoved
-			_, c.isKnown = c.upstream.known[key]
-			found.list = append(found.list, c)
-		}
-		if len(found.list) >= copies {
-			break
-		}
+	found := candidates{list: p.holders(s, query, key, func(u *upstream) bool { return !u.isDown(now) })}
+	if len(found.list) == 0 {
+		found.list = p.holders(s, query, key, func(*upstream) bool { return true })
 	}
+	found.gain = time.Duration(moveGain * float64(s.work.or(defaultWork)))
 	mayMigrate := !found.hasKnown() || p.migrations.isAllowed(now)
 	for i := range found.list {
 		p.price(&found.list[i], s, query, mayMigrate, now)
@@ -81,40 +61,53 @@
 	return found
 }
 
-func (c *candidates) hasKnown() bool {
-	return slices.ContainsFunc(c.list, func(one candidate) bool { return one.isKnown })
-}
-
-// usable returns the members that may get the request. Those that cannot be
-// reached are left out unless there are no others.
-func (p *Placer) usable(s *service, query Query, now time.Time) []*upstream {
-	reachable := make([]*upstream, 0, len(s.members))
-	var down []*upstream
-	for _, u := range s.members {
-		if u.Draining || p.evacuated[u.Zone] || slices.Contains(query.Exclude, u.Name) {
+// holders returns the upstreams that hold the copies among those that isUsable
+// reports: one in each of the first regions of the key's order, or all in the
+// only region that has some.
+func (p *Placer) holders(s *service, query Query, key uint64, isUsable func(*upstream) bool) []candidate {
+	var regions [][]*upstream
+	for _, r := range s.plan.order(key, p.Zone.Region, s.regions) {
+		if len(query.Homes) > 0 && !slices.Contains(query.Homes, r.name) {
 			continue
 		}
-		if len(query.Homes) > 0 && !slices.Contains(query.Homes, u.region) {
+		usable := filter(r.members, func(u *upstream) bool {
+			return !slices.Contains(query.Exclude, u.Name) && isUsable(u)
+		})
+		if len(usable) == 0 {
 			continue
 		}
-		if u.isDown(now) {
-			down = append(down, u)
-			continue
+		if regions = append(regions, usable); len(regions) == copies {
+			break
 		}
-		reachable = append(reachable, u)
 	}
-	if len(reachable) == 0 {
-		return down
+	n := 1
+	if len(regions) == 1 {
+		n = copies
+	}
+	var list []candidate
+	for i, members := range regions {
+		for rank, c := range first(members, key, n) {
+			c.isMoved = i > 0
+			c.isPlanned = rank == 0 && !c.isMoved
+			_, c.isKnown = c.upstream.known[key]
+			list = append(list, c)
+		}
 	}
-	return reachable
+	return list
 }
 
-func byRegion(members []*upstream) map[core.RegionName][]*upstream {
-	regions := map[core.RegionName][]*upstream{}
+func filter(members []*upstream, keep func(*upstream) bool) []*upstream {
+	kept := make([]*upstream, 0, len(members))
 	for _, u := range members {
-		regions[u.region] = append(regions[u.region], u)
+		if keep(u) {
+			kept = append(kept, u)
+		}
 	}
-	return regions
+	return kept
+}
+
+func (c *candidates) hasKnown() bool {
+	return slices.ContainsFunc(c.list, func(one candidate) bool { return one.isKnown })
 }
 
 // first returns the n members with the highest rendezvous weight, highest first.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -24,6 +24,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 type service struct {
 	policy  core.ServicePolicy
 	members []*upstream
+	// regions holds those members that may get requests.
+	regions []*region
 	plan    plan
 	// work is the usual time of a run without a queue.
 	work average
@@ -179,6 +182,27 @@
 		}
 		s.members = append(s.members, u)
 	}
+	for _, s := range p.services {
+		s.regions = p.open(s.members)
+	}
+}
+
+// open returns the members that may get requests by their regions.
+func (p *Placer) open(members []*upstream) []*region {
+	var regions []*region
+	for _, u := range members {
+		if u.Draining || p.evacuated[u.Zone] {
+			continue
+		}
+		i := slices.IndexFunc(regions, func(r *region) bool { return r.name == u.region })
+		if i < 0 {
+			i = len(regions)
+			regions = append(regions, &region{name: u.region, hash: xxhash.Sum64String(string(u.region))})
+		}
+		regions[i].slots += u.slots()
+		regions[i].members = append(regions[i].members, u)
+	}
+	return regions
 }
 
 // SetEvacuated states which availability zones get nothing. The upstreams of
@@ -196,6 +220,7 @@
 		}
 	}
 	p.evacuated = next
+	p.regroup()
 }
 
 // Choose returns the upstream for an attempt, and false where none may get it.
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -59,39 +59,47 @@
 	saltRegion = 0xc2b2ae3d27d4eb4f
 )
 
-// order returns the regions that have slots, in the order in which the key's
-// requests should use them. The first is the planned one. The own region is the
-// first for its part of the keys and the second for the others, so that each
-// object has one near upstream and one elsewhere: requests follow the load
-// between two upstreams that know the object, and no key has to move for that.
-func (p *plan) order(key uint64, own core.RegionName, usable []*upstream) []core.RegionName {
-	slots := map[core.RegionName]int{}
-	for _, u := range usable {
-		slots[u.region] += u.slots()
-	}
+// region is the part of a service's upstreams in one region that may get
+// requests.
+type region struct {
+	name    core.RegionName
+	hash    uint64
+	slots   int
+	members []*upstream
+}
+
+// order returns the regions in the order in which the key's requests should use
+// them. The first is the planned one. The own region is the first for its part
+// of the keys and the second for the others, so that each object has one near
+// upstream and one elsewhere: requests follow the load between two upstreams
+// that know the object, and no key has to move for that.
+func (p *plan) order(key uint64, own core.RegionName, regions []*region) []*region {
 	type scored struct {
-		region core.RegionName
+		region *region
 		score  float64
 	}
-	others := make([]scored, 0, len(slots))
-	for region, n := range slots {
-		if region != own {
-			others = append(others, scored{region, rendezvous(mix(key, saltRegion), string(region), float64(n))})
+	others := make([]scored, 0, len(regions))
+	var near *region
+	for _, r := range regions {
+		if r.name == own {
+			near = r
+			continue
 		}
+		others = append(others, scored{r, rendezvous(mix(key, saltRegion), r.hash, float64(r.slots))})
 	}
 	slices.SortFunc(others, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	order := make([]core.RegionName, 0, len(slots))
+	order := make([]*region, 0, len(regions))
 	for _, o := range others {
 		order = append(order, o.region)
 	}
-	if slots[own] == 0 {
+	if near == nil {
 		return order
 	}
 	at := 0
 	if isNear := unit(mix(key, saltStay)) < p.near; !isNear {
 		at = min(1, len(order))
 	}
-	return slices.Insert(order, at, own)
+	return slices.Insert(order, at, near)
 }
 
 // begin sets the plan of a service to the share of the near slots. Before the
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endiverun/endiverun/core"
 )
 
@@ -142,8 +140,9 @@
 	p.trips[choice.Region] = known + time.Duration(averageWeight*float64(min(dial, 2*known)-known))
 }
 
-// rendezvous returns the score of one of several weighted names for a key.
-func rendezvous(key uint64, name string, weight float64) float64 {
+// rendezvous returns the score of one of several weighted names for a key, by
+// the hash of the name.
+func rendezvous(key, name uint64, weight float64) float64 {
 	const smallest = 1e-18
-	return -weight / math.Log(max(unit(mix(key, xxhash.Sum64String(name))), smallest))
+	return -weight / math.Log(max(unit(mix(key, name)), smallest))
 }
