Probe the store while watches wait

The store was down from second 18; hosts noticed at 24.7, since their watches waited and no call failed, so nothing checked the upstreams of a zone that was evacuated and became cold at 24.3. Change: every host that reads the store probes it with the cheapest call once a second (readers of a zone twice); a failed probe makes the copy unconfirmed. Retries after an upstream's own failure name its status in the log. Test: a store that goes down while watches wait.

--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -19,6 +19,8 @@
 	failed   time.Time
 	// reached is when the store was last known to be reachable.
 	reached time.Time
+	// isUnreached says that the last probe failed.
+	isUnreached bool
 }
 
 // setAnswered reports whether the store answers again after failures.
@@ -44,14 +46,20 @@
 func (c *contact) isConfirmed(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.answered.After(c.failed) && now.Sub(c.answered) < confirmedFor
+	return c.answered.After(c.failed) && !c.isUnreached && now.Sub(c.answered) < confirmedFor
 }
 
-// setReached states that the store could be reached.
-func (c *contact) setReached(now time.Time) {
+// setProbed takes the result of a probe, and reports whether it differs from that
+// of the one before.
+func (c *contact) setProbed(isReached bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reached = now
+	if isReached {
+		c.reached = now
+	}
+	differs := c.isUnreached == isReached
+	c.isUnreached = !isReached
+	return differs
 }
 
 // confirm states that the copy is as new as that of a host that reads the store.
@@ -66,6 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reached = time.Time{}
+	c.isUnreached = false
 }
 
 // storeAge returns how long ago the store was reached, and whether the host's
@@ -73,7 +82,7 @@
 func (c *contact) storeAge(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.reached), c.answered.After(c.failed)
+	return now.Sub(c.reached), c.answered.After(c.failed) && !c.isUnreached
 }
 
 // age returns the time since the last answer.
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -14,10 +14,11 @@
 	// followEvery is the time between two looks whether another host reads the
 	// store for this one.
 	followEvery = 100 * time.Millisecond
-	// probeEvery is the time between two looks of a zone's reader whether it
-	// still reaches the store: a connection on which a watch waits does not show
-	// it.
-	probeEvery = 500 * time.Millisecond
+	// probeEvery is the time between two looks whether the host still reaches the
+	// store: a connection on which a watch waits does not show it. A zone's
+	// reader looks more often, since others depend on it.
+	probeEvery       = time.Second
+	readerProbeEvery = 500 * time.Millisecond
 )
 
 // follow takes the copy of the zone's reader as long as there is one, and reads
@@ -65,18 +66,28 @@
 	c.replicator.Take(update, time.Now())
 }
 
-// probe has a zone's reader look whether it reaches the store.
+// probe looks from time to time whether the host reaches the store, unless it
+// follows another one.
 func (c *Controller) probe(ctx context.Context) {
 	if c.ReachStore == nil {
 		return
 	}
-	waiter.Every(ctx, probeEvery, func(now time.Time) {
-		if c.isFollowing.Load() || !c.roster.IsReader(now) {
+	var last time.Time
+	waiter.Every(ctx, readerProbeEvery, func(now time.Time) {
+		isDue := c.roster.IsReader(now) || now.Sub(last) >= probeEvery
+		if c.isFollowing.Load() || !isDue {
 			return
 		}
-		if err := c.ReachStore(); err == nil {
-			c.contact.setReached(time.Now())
+		last = now
+		err := c.ReachStore()
+		if !c.contact.setProbed(err == nil, time.Now()) {
+			return
+		}
+		if err != nil {
+			c.Log.Event(logger.PlatformLost).Err(err).Send()
+			return
 		}
+		c.Log.Event(logger.PlatformFound).Send()
 	})
 }
 
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -81,3 +81,36 @@
 	stop()
 	<-done
 }
+
+// TestWaitingWatchHidesOutage is the pattern of a store that goes down while the
+// watches of a host wait: no call fails, and only the probe shows that the copy
+// may be old, so that upstreams of the own region are checked.
+func TestWaitingWatchHidesOutage(t *testing.T) {
+	is := is.New(t)
+	c := newController("host-1", coldUpstream(t))
+	var isDown atomic.Bool
+	c.ReachStore = func() error {
+		if isDown.Load() {
+			return core.ErrPlatform.New("busy")
+		}
+		return nil
+	}
+	c.StoreAnswered(time.Now()) // a watch waits from now on
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.probe(ctx)
+	}()
+	is.True(c.contact.isConfirmed(time.Now()))
+	isDown.Store(true)
+	for c.contact.isConfirmed(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	isDown.Store(false)
+	for !c.contact.isConfirmed(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-done
+}
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -89,11 +89,13 @@
 		fault := "rejected with status " + strconv.Itoa(status)
 		return Result{State: core.NotRun, Report: report, Fault: fault, HasArrived: true}
 	}
-	report.Outcome = placer.Done
+	result := Result{State: core.Answered, Report: report, Response: response}
+	result.Report.Outcome = placer.Done
 	if status >= fasthttp.StatusInternalServerError {
-		report.Outcome = placer.Failed
+		result.Report.Outcome = placer.Failed
+		result.Fault = "failed with status " + strconv.Itoa(status)
 	}
-	return Result{State: core.Answered, Report: report, Response: response}
+	return result
 }
 
 // parseLoad returns nil where the text is no load.
