--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -24,7 +24,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"sync"
 	"time"
 
@@ -114,115 +113,6 @@
 	}
 }
 
-// SetUpstreams replaces the list of upstreams. Those that stay keep what is
-// known of them; another life under the same name starts anew.
-func (p *Placer) SetUpstreams(list []core.Upstream, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.moves.part, p.migrations.part = moveShare, migrateShare
-	isStart := p.upstreams == nil && !p.AssumeCold
-	next := make(map[core.UpstreamName]*upstream, len(list))
-	for _, item := range list {
-		u := p.upstreams[item.Name]
-		if u == nil {
-			u = p.retired[item.Name]
-		}
-		if u == nil || !u.isSameLife(item) {
-			u = newUpstream(item, p.Regions[item.Zone])
-			if !isStart {
-				u.suspected = now
-			}
-		}
-		u.Upstream = item
-		u.coldUntil = later(u.coldUntil, item.ColdUntil)
-		next[item.Name] = u
-	}
-	p.retire(next, now)
-	p.upstreams = next
-	p.regroup()
-}
-
-// retiredFor is how long an upstream that is no longer listed is remembered.
-const retiredFor = 15 * time.Second
-
-// retire remembers the upstreams that are not in the next list.
-func (p *Placer) retire(next map[core.UpstreamName]*upstream, now time.Time) {
-	if p.retired == nil {
-		p.retired = map[core.UpstreamName]*upstream{}
-	}
-	for name, u := range p.retired {
-		if next[name] != nil || now.Sub(u.retiredAt) > retiredFor {
-			delete(p.retired, name)
-		}
-	}
-	for name, u := range p.upstreams {
-		if next[name] == nil {
-			u.retiredAt = now
-			p.retired[name] = u
-		}
-	}
-}
-
-// regroup sorts the upstreams into their services.
-func (p *Placer) regroup() {
-	if p.services == nil {
-		p.services = map[core.ServiceName]*service{}
-	}
-	for _, s := range p.services {
-		s.members = s.members[:0]
-	}
-	for _, u := range p.upstreams {
-		s := p.services[u.Service]
-		if s == nil {
-			s = &service{}
-			if p.policy != nil {
-				s.policy = p.policy.Services[u.Service]
-			}
-			p.services[u.Service] = s
-		}
-		s.members = append(s.members, u)
-	}
-	for _, s := range p.services {
-		s.regions = p.open(s.members)
-	}
-}
-
-// open returns the members that may get requests by their regions.
-func (p *Placer) open(members []*upstream) []*region {
-	var regions []*region
-	for _, u := range members {
-		if u.Draining || p.evacuated[u.Zone] {
-			continue
-		}
-		i := slices.IndexFunc(regions, func(r *region) bool { return r.name == u.region })
-		if i < 0 {
-			i = len(regions)
-			regions = append(regions, &region{name: u.region, hash: xxhash.Sum64String(string(u.region))})
-		}
-		regions[i].slots += u.slots()
-		regions[i].members = append(regions[i].members, u)
-	}
-	return regions
-}
-
-// SetEvacuated states which availability zones get nothing. The upstreams of
-// a zone that is taken back count as cold.
-func (p *Placer) SetEvacuated(zones []core.ZoneName, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	next := make(map[core.ZoneName]bool, len(zones))
-	for _, z := range zones {
-		next[z] = true
-	}
-	for _, u := range p.upstreams {
-		if p.evacuated[u.Zone] && !next[u.Zone] {
-			u.suspected = later(u.suspected, now)
-		}
-	}
-	p.evacuated = next
-	p.regroup()
-}
-
 // Choose returns the upstream for an attempt, and false where none may get it.
 func (p *Placer) Choose(query Query, now time.Time) (Choice, bool) {
 	p.mu.Lock()
@@ -311,80 +201,6 @@
 	return defaultTrip
 }
 
-// wantedFor is how long after a request was kept from an upstream others are
-// expected for it.
-const wantedFor = time.Second
-
-// Suspects returns the upstreams that may be cold without having said so, and
-// that a health check may clear. In a large fleet only those are checked that
-// requests are kept from.
-func (p *Placer) Suspects(now time.Time) []core.Upstream {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	isSmall := len(p.upstreams) <= fewUpstreams
-	var list []core.Upstream
-	for _, s := range p.services {
-		for _, u := range s.members {
-			isOpen := !u.Draining && !p.evacuated[u.Zone] && !u.isDown(now)
-			isOpen = isOpen && (isSmall || now.Sub(u.wanted) < wantedFor)
-			if isOpen && !u.suspected.IsZero() && u.isCold(s.policy.WarmUp, now) && !now.Before(u.suspected) {
-				list = append(list, u.Upstream)
-			}
-		}
-	}
-	return list
-}
-
-// Near returns the upstreams of the host's own region that may get requests.
-func (p *Placer) Near(now time.Time) []core.Upstream {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []core.Upstream
-	for _, u := range p.upstreams {
-		if u.region == p.Zone.Region && !u.Draining && !p.evacuated[u.Zone] && !u.isDown(now) {
-			list = append(list, u.Upstream)
-		}
-	}
-	return list
-}
-
-// MarkCold takes what another host found: for how long an upstream stays cold.
-// It returns the upstream and whether it was not known to be cold.
-func (p *Placer) MarkCold(name core.UpstreamName, cold time.Duration, now time.Time) (core.Upstream, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := p.upstreams[name]
-	if u == nil {
-		return core.Upstream{}, false
-	}
-	isNews := !now.Before(u.coldUntil)
-	u.coldUntil = later(u.coldUntil, now.Add(cold))
-	return u.Upstream, isNews
-}
-
-// SuspectZone states that the upstreams of a zone may be cold.
-func (p *Placer) SuspectZone(zone core.ZoneName, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, u := range p.upstreams {
-		if u.Zone == zone && !now.Before(u.coldUntil) {
-			u.suspected = later(u.suspected, now)
-		}
-	}
-}
-
-// Confirm takes what an upstream said of itself: for how long it stays cold.
-func (p *Placer) Confirm(upstream core.Upstream, cold time.Duration, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := p.upstreams[upstream.Name]
-	if u == nil || !u.isSameLife(upstream) {
-		return
-	}
-	u.suspected = time.Time{}
-	u.coldUntil = now.Add(cold)
-}
-
 // Release gives back a choice that was not used.
 func (p *Placer) Release(choice Choice) {
 	p.mu.Lock()
--- a/core/placer/world_test.go
+++ b/core/placer/world_test.go
@@ -29,8 +29,8 @@
 	// pairs are the objects that each upstream handled.
 	pairs map[string]map[core.UpstreamName]bool
 	// counted is from when on requests count.
-	counted                  time.Time
-	asked, inTime, unchoosen int
+	counted                 time.Time
+	asked, inTime, unchosen int
 }
 
 // The figures of the world.
@@ -170,7 +170,7 @@
 		w.asked++
 	}
 	if !ok {
-		w.unchoosen++
+		w.unchosen++
 		return
 	}
 	s := w.servers[choice.Upstream.Name]
@@ -269,7 +269,7 @@
 			w.counted = start.Add(warmUp)
 			w.run(length)
 			t.Logf("in time %.3f, upstreams an object %.2f", float64(w.inTime)/float64(w.asked), w.meanPairs())
-			is.Equal(w.unchoosen, 0)
+			is.Equal(w.unchosen, 0)
 			is.True(float64(w.inTime) >= target*float64(w.asked))
 			is.True(w.meanPairs() <= 2) // an object has two copies
 		})
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -69,19 +69,22 @@
 	c.answered = now
 }
 
-// unreach states that this host has not reached the store itself lately.
-func (c *contact) unreach() {
+// forgetReach states that this host has not reached the store itself lately.
+func (c *contact) forgetReach() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reached = time.Time{}
 	c.isUnreached = false
 }
 
-// storeAge returns how long ago the store was reached, and whether the host's
-// reads work since.
+// storeAge returns how long ago the store was reached. It returns false where
+// that was never, or the host's reads fail since.
 func (c *contact) storeAge(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reached.IsZero() {
+		return 0, false
+	}
 	return now.Sub(c.reached), c.answered.After(c.failed) && !c.isUnreached
 }
 
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -300,33 +299,3 @@
 	}
 	return max(int(total)/max(int(c.hosts.Load()), 1), 1)
 }
-
-// noteAnswer counts an upstream's answer. A failure of the upstream's own is
-// explained.
-func (c *Controller) noteAnswer(e forwarder.Event) {
-	e.Cause = ""
-	c.countEnd(e)
-	if e.Status >= http.StatusInternalServerError {
-		c.Log.Event(logger.UpstreamFailed).
-			Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
-			Str("upstream", string(e.Upstream)).Uint64("policy", e.Version).Int("status", e.Status).
-			Dur("took", e.Took).Send()
-	}
-}
-
-// noteRetry explains and counts a further attempt.
-func (c *Controller) noteRetry(e forwarder.Event) {
-	c.Meter.Count(meter.Retries, meter.Labels{Service: string(e.Service)})
-	c.Log.Event(logger.RequestRetried).
-		Str("request", e.RequestID).Str("service", string(e.Service)).
-		Uint64("policy", e.Version).Str("cause", e.Cause).Send()
-}
-
-// noteRefusal explains and counts an answer of the host's own.
-func (c *Controller) noteRefusal(e forwarder.Event) {
-	c.countEnd(e)
-	c.Log.Event(logger.RequestRefused).
-		Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
-		Str("upstream", string(e.Upstream)).Uint64("policy", e.Version).Int("status", e.Status).
-		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Took).Send()
-}
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -44,7 +44,7 @@
 		c.Log.Event(logger.ReaderFollowed).Str("peer", string(reader.Name)).Send()
 		return
 	}
-	c.contact.unreach()
+	c.contact.forgetReach()
 	c.Log.Event(logger.StoreRead).Send()
 }
 
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -114,3 +114,19 @@
 	stop()
 	<-done
 }
+
+// TestHostThatJustReadsAgain is the pattern of a follower whose reader fell
+// silent: until it reached the store itself, no other host depends on it.
+func TestHostThatJustReadsAgain(t *testing.T) {
+	is := is.New(t)
+	c := newController("host-1", core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1"})
+	c.SetReading = func(bool) {}
+	now := time.Now()
+	c.setFollowing(core.Host{Name: "reader"}, true)
+	c.contact.confirm(now)
+	is.True(!c.heartbeat().Reads) // it follows
+	c.setFollowing(core.Host{}, false)
+	is.True(!c.heartbeat().Reads) // it has not reached the store yet
+	c.StoreAnswered(now)
+	is.True(c.heartbeat().Reads)
+}
