--- a/core/host.go
+++ b/core/host.go
@@ -1,6 +1,9 @@
 package core
 
-import "strconv"
+import (
+	"net/netip"
+	"strconv"
+)
 
 // HostName names an entry host.
 type HostName string
@@ -43,3 +46,17 @@
 func (h Host) Life() Life {
 	return Life{Host: h.Name, Incarnation: h.Incarnation}
 }
+
+// AddressAt returns the host's IP address with the port of another address;
+// empty where one of them cannot be read.
+func (h Host) AddressAt(other string) string {
+	own, err := netip.ParseAddrPort(h.PeerAddress)
+	if err != nil {
+		return ""
+	}
+	port, err := netip.ParseAddrPort(other)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(own.Addr(), port.Port()).String()
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -47,6 +47,9 @@
 	Routes   []core.Route         `cbor:"2,keyasint"`
 	Services []core.ServicePolicy `cbor:"3,keyasint"`
 	Limits   core.ClientLimits    `cbor:"4,keyasint"`
+	// Findings are the entries that could not be read as they were meant. Only
+	// the host that read the policy from the store knows them.
+	Findings core.Findings `cbor:"-"`
 }
 
 // Upstreams is the list of upstreams as of a revision of the store, or what
--- a/core/route.go
+++ b/core/route.go
@@ -21,11 +21,13 @@
 	NonIdempotent
 	// Upload requests carry large bodies and run at most once.
 	Upload
+	// Download requests have large answers and may run more than once.
+	Download
 )
 
 // IsRepeatable reports whether a request may run again after an unknown outcome.
 func (c RequestClass) IsRepeatable() bool {
-	return c == Idempotent
+	return c == Idempotent || c == Download
 }
 
 // String returns the class as own formats write it.
@@ -37,6 +39,8 @@
 		return "non-idempotent"
 	case Upload:
 		return "upload"
+	case Download:
+		return "download"
 	default:
 		return "invalid"
 	}
@@ -70,6 +74,43 @@
 	HasAffinity bool
 	// Homes are the only regions that may run the requests; empty means all.
 	Homes []RegionName
+	// Fault says why requests of the route cannot be served; empty where they
+	// can. Such a route still takes its requests, so that none of them goes to
+	// the service of a shorter prefix.
+	Fault string
+}
+
+// IsAddressed reports whether requests can be matched with the route.
+func (r *Route) IsAddressed() bool {
+	return r.Host != "" && strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/")
+}
+
+// Check returns what keeps requests of the route from being served.
+func (r *Route) Check() error {
+	var findings Findings
+	if r.Host == "" {
+		findings.Addf("host", "is empty")
+	}
+	if !r.IsAddressed() {
+		findings.Addf("prefix", "%q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout < 0 || r.Objective < 0 {
+		findings.Addf("timeout", "a time is negative")
+	}
+	total := Weight(0)
+	for i, p := range r.Parts {
+		if p.Service == "" {
+			findings.Addf(Pointer("parts", i), "names no service")
+		}
+		if !(p.Weight >= 0) {
+			findings.Addf(Pointer("parts", i), "weight %v is not 0 or more", p.Weight)
+		}
+		total += p.Weight
+	}
+	if !(total > 0) {
+		findings.Addf("parts", "the weights have no positive sum")
+	}
+	return findings.Err()
 }
 
 // ServicePolicy is what operators state of one service for all hosts together.
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -36,6 +36,9 @@
 		c.placer.SetPolicy(policy)
 		c.forwarder.SetPolicy(policy)
 		c.Log.Event(logger.PolicyApplied).Uint64("policy", p.Version).Int("routes", len(p.Routes)).Send()
+		for _, f := range p.Findings {
+			c.Log.Event(logger.PolicyEntryUnreadable).Uint64("policy", p.Version).Str("entry", f.Pointer).Str("error", f.Message).Send()
+		}
 	}
 	if e := changed.Evacuations; e != nil {
 		c.placer.SetEvacuated(e.Zones, now)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -195,6 +195,11 @@
 		f.deny(ctx, policy)
 		return
 	}
+	if route.Fault != "" {
+		event := Event{RequestID: f.id(ctx), Route: route.Name, Version: policy.Version, Detail: route.Fault}
+		f.refuse(ctx, event, "route-unreadable", unreadableRetry)
+		return
+	}
 	body, status := f.readBody(ctx, policy.Limits.BodyBytes)
 	if status != 0 {
 		ctx.SetStatusCode(status)
@@ -205,8 +210,13 @@
 	f.serve(ctx, policy, route, body, now)
 }
 
-// notReadyRetry is when a client comes back to a host without a policy.
-const notReadyRetry = 300 * time.Millisecond
+const (
+	// notReadyRetry is when a client comes back to a host without a policy.
+	notReadyRetry = 300 * time.Millisecond
+	// unreadableRetry is when it comes back to a route that cannot be read: only
+	// another version of the policy serves it.
+	unreadableRetry = 5 * time.Second
+)
 
 // deny answers a request that no route takes. Unless the policy is known to be
 // the newest, the route may only be unknown here.
--- a/entry/forwarder/request.go
+++ b/entry/forwarder/request.go
@@ -15,6 +15,9 @@
 // defaultDeadline bounds a request whose client states no deadline.
 const defaultDeadline = 30 * time.Second
 
+// defaultBodyLimit bounds a body where the policy states no limit.
+const defaultBodyLimit = 16 * core.Mebibyte
+
 // answerMargin is kept for the way of the answer back to the client.
 const answerMargin = 10 * time.Millisecond
 
@@ -43,15 +46,18 @@
 	if stream == nil || length == 0 {
 		return nil, 0
 	}
-	if limit > 0 && length > int(limit) {
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	if length > int(limit) {
 		return nil, fasthttp.StatusRequestEntityTooLarge
 	}
 	buffer := bytes.NewBuffer(make([]byte, 0, max(length, 0)))
-	bounded := io.LimitReader(stream, max(int64(limit), 0)+1)
+	bounded := io.LimitReader(stream, int64(limit)+1)
 	if _, err := buffer.ReadFrom(bounded); err != nil {
 		return nil, fasthttp.StatusBadRequest
 	}
-	if limit > 0 && buffer.Len() > int(limit) {
+	if buffer.Len() > int(limit) {
 		return nil, fasthttp.StatusRequestEntityTooLarge
 	}
 	if held := f.bodies.Add(int64(buffer.Len())); f.MaxBodies > 0 && held > int64(f.MaxBodies) {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -71,8 +71,9 @@
 
 	UpstreamCold = Event{510, "upstream-cold", zerolog.InfoLevel, "A health check found an upstream cold; it gets few requests."}
 
-	PolicyApplied    = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy is in force on this host."}
-	PolicyUnreadable = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored routing policy cannot be read; the last one holds."}
+	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy is in force on this host."}
+	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored routing policy cannot be read; the last one holds."}
+	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "An entry of a routing policy cannot be read as it was meant; the others are in force."}
 
 	SettingsReloaded   = Event{105, "settings-reloaded", zerolog.InfoLevel, "The settings file was read again."}
 	ListenFailed       = Event{106, "listen-failed", zerolog.ErrorLevel, "An address of the host cannot be served."}
@@ -91,7 +92,7 @@
 	RequestRetried, RequestRefused, UpstreamFailed,
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, CheckFailed, UpstreamCold,
-	PolicyApplied, PolicyUnreadable,
+	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved,
 }
 
