Keep connections by upstream and address

Cause: the pool knew upstreams by name alone.

Test: TestAddressOfAnEarlierLife fails before the change.

--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -146,21 +146,20 @@
 		result.Fault = "canceled"
 	}
 	if reusable && isClean && !isCanceled {
-		e.pool.put(attempt.Upstream.Name, conn, time.Now())
+		e.pool.put(peerOf(attempt.Upstream), conn, time.Now())
 		return result
 	}
-	e.pool.discard(attempt.Upstream.Name, conn)
+	e.pool.discard(peerOf(attempt.Upstream), conn)
 	isLost := result.Report.Outcome == placer.Broken || result.Report.Outcome == placer.Unreachable
 	if isLost && conn.isReused {
 		// Others of the same age have probably gone silent with it.
-		e.pool.closeIdle(attempt.Upstream.Name)
+		e.pool.closeIdle(peerOf(attempt.Upstream))
 	}
 	return result
 }
 
 func (e *Exchanger) connect(ctx context.Context, attempt Attempt, now time.Time) (*connection, *Result) {
-	name := attempt.Upstream.Name
-	conn, wasClosed := e.pool.take(name, now)
+	conn, wasClosed := e.pool.take(peerOf(attempt.Upstream), now)
 	if conn != nil {
 		return conn, nil
 	}
@@ -194,12 +193,12 @@
 	if e.MaxConnections != nil {
 		limit = e.MaxConnections(upstream.Service)
 	}
-	if !e.pool.reserve(upstream.Name, limit) {
+	if !e.pool.reserve(peerOf(upstream), limit) {
 		return nil, errFull
 	}
 	raw, err := e.Dial("tcp", upstream.Address, timeout)
 	if err != nil {
-		e.pool.release(upstream.Name)
+		e.pool.release(peerOf(upstream))
 		return nil, err
 	}
 	conn := newConnection(raw)
@@ -213,7 +212,7 @@
 // Prepare opens a connection to an upstream that has no idle one, so that the
 // next request need not wait for it.
 func (e *Exchanger) Prepare(upstream core.Upstream, timeout time.Duration) error {
-	if e.pool.idleCount(upstream.Name) > 0 {
+	if e.pool.idleCount(peerOf(upstream)) > 0 {
 		return nil
 	}
 	now := time.Now()
@@ -221,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	e.pool.put(upstream.Name, conn, time.Now())
+	e.pool.put(peerOf(upstream), conn, time.Now())
 	return nil
 }
 
--- a/entry/exchanger/exchanger_test.go
+++ b/entry/exchanger/exchanger_test.go
@@ -383,3 +383,26 @@
 	is.Equal(answer.State, core.Answered)
 	e.Close()
 }
+
+// TestAddressOfAnEarlierLife is the pattern of an upstream that starts anew under
+// its name at another address, while the connection to the old one is still open.
+func TestAddressOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	before := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		reply(whole)(conn, r)
+		if readRequest(r) != nil {
+			t.Error("the earlier life got a request")
+		}
+		close(ended)
+	})
+	after := serve(t, reply(whole))
+	e := newExchanger()
+	for _, upstream := range []core.Upstream{before, after} {
+		answer := e.Do(t.Context(), attempt(upstream, ""))
+		is.Equal(answer.State, core.Answered)
+		answer.Close()
+	}
+	e.Close()
+	<-ended
+}
--- a/entry/exchanger/pool.go
+++ b/entry/exchanger/pool.go
@@ -91,10 +91,21 @@
 	return 0, false
 }
 
+// peer is an upstream at one address. One that starts anew under its name may
+// have another address, and the connections to the old one are not its own.
+type peer struct {
+	name    core.UpstreamName
+	address string
+}
+
+func peerOf(upstream core.Upstream) peer {
+	return peer{name: upstream.Name, address: upstream.Address}
+}
+
 // pool keeps the connections to each upstream.
 type pool struct {
 	mu    sync.Mutex
-	kinds map[core.UpstreamName]*shelf
+	peers map[peer]*shelf
 }
 
 // shelf holds the idle connections to one upstream and counts all open ones.
@@ -105,9 +116,9 @@
 
 // take returns an idle connection that is fit for a request, the one used last
 // first, or nil. It reports whether the upstream had closed one of them.
-func (p *pool) take(name core.UpstreamName, now time.Time) (c *connection, wasClosed bool) {
+func (p *pool) take(to peer, now time.Time) (c *connection, wasClosed bool) {
 	for {
-		c := p.pop(name)
+		c := p.pop(to)
 		if c == nil {
 			return nil, wasClosed
 		}
@@ -116,14 +127,14 @@
 			return c, wasClosed
 		}
 		wasClosed = wasClosed || isFresh
-		p.discard(name, c)
+		p.discard(to, c)
 	}
 }
 
-func (p *pool) pop(name core.UpstreamName) *connection {
+func (p *pool) pop(to peer) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.kinds[name]
+	s := p.peers[to]
 	if s == nil || len(s.idle) == 0 {
 		return nil
 	}
@@ -136,16 +147,16 @@
 
 // reserve counts a connection that is about to be opened, and reports whether
 // the limit allows it; 0 means no limit.
-func (p *pool) reserve(name core.UpstreamName, limit int) bool {
+func (p *pool) reserve(to peer, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.kinds == nil {
-		p.kinds = map[core.UpstreamName]*shelf{}
+	if p.peers == nil {
+		p.peers = map[peer]*shelf{}
 	}
-	s := p.kinds[name]
+	s := p.peers[to]
 	if s == nil {
 		s = &shelf{}
-		p.kinds[name] = s
+		p.peers[to] = s
 	}
 	if limit > 0 && s.open >= limit {
 		return false
@@ -155,34 +166,34 @@
 }
 
 // release gives back what reserve counted.
-func (p *pool) release(name core.UpstreamName) {
+func (p *pool) release(to peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.kinds[name]
+	s := p.peers[to]
 	if s == nil {
 		return
 	}
 	s.open--
 	if s.open <= 0 && len(s.idle) == 0 {
-		delete(p.kinds, name)
+		delete(p.peers, to)
 	}
 }
 
-func (p *pool) put(name core.UpstreamName, c *connection, now time.Time) {
+func (p *pool) put(to peer, c *connection, now time.Time) {
 	c.expires = now.Add(c.idle)
 	c.isReused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.kinds[name]; s != nil {
+	if s := p.peers[to]; s != nil {
 		s.idle = append(s.idle, c)
 	}
 }
 
 // idleCount returns the number of idle connections to an upstream.
-func (p *pool) idleCount(name core.UpstreamName) int {
+func (p *pool) idleCount(to peer) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.kinds[name]
+	s := p.peers[to]
 	if s == nil {
 		return 0
 	}
@@ -190,32 +201,32 @@
 }
 
 // discard closes a connection that is not in the pool.
-func (p *pool) discard(name core.UpstreamName, c *connection) {
+func (p *pool) discard(to peer, c *connection) {
 	_ = c.Close()
-	p.release(name)
+	p.release(to)
 }
 
 // closeIdle closes the idle connections to one upstream.
-func (p *pool) closeIdle(name core.UpstreamName) {
-	for c := p.pop(name); c != nil; c = p.pop(name) {
-		p.discard(name, c)
+func (p *pool) closeIdle(to peer) {
+	for c := p.pop(to); c != nil; c = p.pop(to) {
+		p.discard(to, c)
 	}
 }
 
 // CloseExpired closes the connections that were idle for too long.
 func (e *Exchanger) CloseExpired(now time.Time) {
-	for name, c := range e.pool.expired(now) {
+	for to, c := range e.pool.expired(now) {
 		for _, conn := range c {
-			e.pool.discard(name, conn)
+			e.pool.discard(to, conn)
 		}
 	}
 }
 
-func (p *pool) expired(now time.Time) map[core.UpstreamName][]*connection {
+func (p *pool) expired(now time.Time) map[peer][]*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	gone := map[core.UpstreamName][]*connection{}
-	for name, s := range p.kinds {
+	gone := map[peer][]*connection{}
+	for to, s := range p.peers {
 		n := 0
 		for n < len(s.idle) && !now.Before(s.idle[n].expires) {
 			n++
@@ -223,7 +234,7 @@
 		if n == 0 {
 			continue
 		}
-		gone[name] = append(gone[name], s.idle[:n]...)
+		gone[to] = append(gone[to], s.idle[:n]...)
 		s.idle = append([]*connection(nil), s.idle[n:]...)
 	}
 	return gone
@@ -232,12 +243,12 @@
 // Close closes all idle connections.
 func (e *Exchanger) Close() {
 	e.pool.mu.Lock()
-	names := make([]core.UpstreamName, 0, len(e.pool.kinds))
-	for name := range e.pool.kinds {
-		names = append(names, name)
+	all := make([]peer, 0, len(e.pool.peers))
+	for to := range e.pool.peers {
+		all = append(all, to)
 	}
 	e.pool.mu.Unlock()
-	for _, name := range names {
-		e.pool.closeIdle(name)
+	for _, to := range all {
+		e.pool.closeIdle(to)
 	}
 }
