Cost of a host in a large fleet: no connections ahead of need, changes in place of lists

Connections are opened ahead only to upstreams used about every five seconds or more often. The watcher hands over what changed, and lists are merged in order. Liveness is judged without copies, and rendezvous weights without texts.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -19,8 +19,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endiverun/endiverun/core"
 )
 
@@ -100,20 +98,16 @@
 
 // rank returns how many hosts come before this one for the upstream.
 func (p *Pacer) rank(upstream core.UpstreamName) int {
-	own := weigh(p.Self, upstream)
+	own := core.Weigh(string(p.Self), string(upstream))
 	before := 0
 	for _, h := range p.hosts {
-		if weigh(h, upstream) > own {
+		if core.Weigh(string(h), string(upstream)) > own {
 			before++
 		}
 	}
 	return before
 }
 
-func weigh(host core.HostName, upstream core.UpstreamName) uint64 {
-	return xxhash.Sum64String(string(host) + "\x00" + string(upstream))
-}
-
 // forget removes upstreams that got nothing for a long time.
 func (p *Pacer) forget(now time.Time) {
 	const many = 512
--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/endiverun/endiverun/core"
 )
 
 const (
@@ -114,7 +116,7 @@
 func first(members []*upstream, key uint64, n int) []candidate {
 	top := make([]candidate, 0, n+1)
 	for _, u := range members {
-		weight := mix(key, u.hash)
+		weight := core.Mix(key, u.hash)
 		i := len(top)
 		for i > 0 && top[i-1].weight < weight {
 			i--
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -23,7 +23,6 @@
 package placer
 
 import (
-	"math/bits"
 	"sync"
 	"time"
 
@@ -157,8 +156,11 @@
 }
 
 const (
-	// recentUse is how long after a request the next one is expected.
-	recentUse = 15 * time.Second
+	// frequentUse is the number of requests, of which older ones count less, that
+	// makes it likely that the next one comes while an open connection is kept.
+	frequentUse = 2.0
+	// useHalfLife is how fast requests lose their weight in that number.
+	useHalfLife = 5 * time.Second
 	// fewUpstreams is the number of upstreams up to which a host deals with all
 	// of them ahead of requests. In larger fleets most upstreams get few
 	// requests of one host, and it deals with those that it uses.
@@ -170,19 +172,19 @@
 func (p *Placer) Prepared(now time.Time) []core.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isSmall := len(p.upstreams) <= fewUpstreams
 	var list []core.Upstream
 	for _, s := range p.services {
-		// Before the first request nothing tells which ones will be used.
-		isAhead := len(p.upstreams) <= fewUpstreams || !s.plan.isSet
 		if !s.plan.isSet {
 			// Until the first request the plan follows the list.
 			s.plan.near = p.fairShare(s)
 		}
+		isAhead := isSmall && s.plan.near < 1
 		for _, u := range s.members {
 			if u.region == p.Zone.Region || u.Draining || p.evacuated[u.Zone] || u.isDown(now) {
 				continue
 			}
-			if isAhead && s.plan.near < 1 || now.Sub(u.used) < recentUse {
+			if isAhead || u.uses.now(now) >= frequentUse {
 				list = append(list, u.Upstream)
 			}
 		}
@@ -210,12 +212,6 @@
 	}
 }
 
-// mix combines two hashes into one that depends on every bit of both.
-func mix(a, b uint64) uint64 {
-	high, low := bits.Mul64(a^0x9e3779b97f4a7c15, b|1)
-	return high ^ low ^ (a << 1) ^ b
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -85,7 +85,7 @@
 			near = r
 			continue
 		}
-		others = append(others, scored{r, rendezvous(mix(key, saltRegion), r.hash, float64(r.slots))})
+		others = append(others, scored{r, rendezvous(core.Mix(key, saltRegion), r.hash, float64(r.slots))})
 	}
 	slices.SortFunc(others, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	order := make([]*region, 0, len(regions))
@@ -96,7 +96,7 @@
 		return order
 	}
 	at := 0
-	if isNear := unit(mix(key, saltStay)) < p.near; !isNear {
+	if isNear := unit(core.Mix(key, saltStay)) < p.near; !isNear {
 		at = min(1, len(order))
 	}
 	return slices.Insert(order, at, near)
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -144,5 +144,5 @@
 // the hash of the name.
 func rendezvous(key, name uint64, weight float64) float64 {
 	const smallest = 1e-18
-	return -weight / math.Log(max(unit(mix(key, name)), smallest))
+	return -weight / math.Log(max(unit(core.Mix(key, name)), smallest))
 }
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -46,7 +46,7 @@
 	wanted time.Time
 
 	inFlight int
-	used     time.Time
+	uses     usage
 	// sent are the times of the requests of the last second, oldest first.
 	sent []time.Time
 	// others is the load that the upstream reported beyond inFlight, at
@@ -90,7 +90,7 @@
 		}
 	}
 	u.known[key] = struct{}{}
-	u.used = now
+	u.uses.count(now)
 	u.sent = append(u.sent, now)
 }
 
@@ -166,6 +166,25 @@
 	u.suspected = later(u.suspected, u.downUntil)
 }
 
+// usage counts requests, of which older ones count less.
+type usage struct {
+	weight float64
+	at     time.Time
+}
+
+// now returns the number as faded since the last request.
+func (g *usage) now(now time.Time) float64 {
+	if g.weight == 0 {
+		return 0
+	}
+	return g.weight * math.Exp2(-float64(now.Sub(g.at))/float64(useHalfLife))
+}
+
+func (g *usage) count(now time.Time) {
+	g.weight = g.now(now) + 1
+	g.at = now
+}
+
 // faultRate averages failures between 0 and 1. It fades while nothing happens.
 type faultRate struct {
 	rate float64
--- a/core/replicator/change.go
+++ b/core/replicator/change.go
@@ -1,7 +1,7 @@
 package replicator
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,24 +31,52 @@
 		*l = changeLog{since: after.Revision, changes: map[core.UpstreamName]change{}}
 		return
 	}
-	old := byName(before.List)
+	old := before.List
 	for _, u := range after.List {
-		if known, ok := old[u.Name]; !ok || known != u {
+		for len(old) > 0 && old[0].Name < u.Name {
+			l.changes[old[0].Name] = change{revision: after.Revision, isRemoved: true}
+			old = old[1:]
+		}
+		isKnown := len(old) > 0 && old[0].Name == u.Name
+		if !isKnown || old[0] != u {
 			l.changes[u.Name] = change{revision: after.Revision}
 		}
-		delete(old, u.Name)
+		if isKnown {
+			old = old[1:]
+		}
 	}
-	for name := range old {
-		l.changes[name] = change{revision: after.Revision, isRemoved: true}
+	for _, u := range old {
+		l.changes[u.Name] = change{revision: after.Revision, isRemoved: true}
 	}
 }
 
-func byName(list []core.Upstream) map[core.UpstreamName]core.Upstream {
-	named := make(map[core.UpstreamName]core.Upstream, len(list))
-	for _, u := range list {
-		named[u.Name] = u
+// sortByName sorts a list in place.
+func sortByName(list []core.Upstream) {
+	compare := func(a, b core.Upstream) int { return cmp.Compare(a.Name, b.Name) }
+	if !slices.IsSortedFunc(list, compare) {
+		slices.SortFunc(list, compare)
+	}
+}
+
+// merge returns a sorted list with those of the changes in place of the ones of
+// the same name, and without the removed ones. All lists are sorted.
+func merge(list, changes []core.Upstream, removed []core.UpstreamName) []core.Upstream {
+	merged := make([]core.Upstream, 0, len(list)+len(changes))
+	for len(list) > 0 || len(changes) > 0 {
+		if len(list) == 0 || len(changes) > 0 && changes[0].Name <= list[0].Name {
+			if len(list) > 0 && list[0].Name == changes[0].Name {
+				list = list[1:]
+			}
+			merged = append(merged, changes[0])
+			changes = changes[1:]
+			continue
+		}
+		if _, isRemoved := slices.BinarySearch(removed, list[0].Name); !isRemoved {
+			merged = append(merged, list[0])
+		}
+		list = list[1:]
 	}
-	return named
+	return merged
 }
 
 // Changes returns what a host lacks that holds the given revisions. Parts that
@@ -125,22 +153,13 @@
 			list[i].ColdUntil = now.Add(time.Duration(ms) * time.Millisecond)
 		}
 	}
+	sortByName(list)
 	if u.Base == 0 {
 		return &Upstreams{Revision: u.Revision, List: list, HasLapsed: u.HasLapsed}, true
 	}
 	if held == nil || held.Revision < u.Base {
 		return nil, false
 	}
-	next := byName(held.List)
-	for _, name := range u.Removed {
-		delete(next, name)
-	}
-	for _, one := range list {
-		next[one.Name] = one
-	}
-	whole := &Upstreams{Revision: u.Revision, HasLapsed: u.HasLapsed, List: make([]core.Upstream, 0, len(next))}
-	for _, name := range slices.Sorted(maps.Keys(next)) {
-		whole.List = append(whole.List, next[name])
-	}
-	return whole, true
+	removed := slices.Sorted(slices.Values(u.Removed))
+	return &Upstreams{Revision: u.Revision, HasLapsed: u.HasLapsed, List: merge(held.List, list, removed)}, true
 }
--- a/core/replicator/change_test.go
+++ b/core/replicator/change_test.go
@@ -92,3 +92,64 @@
 	}
 	return named
 }
+
+// TestChangesMakeTheSameList plays a host that gets whole lists and one that gets
+// what changed, over outages after which registrations are missing. Both hold
+// the same all the time.
+func TestChangesMakeTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, delta := &replicator.Replicator{}, &replicator.Replicator{}
+		listed, told := map[string]core.Upstream{}, map[string]core.Upstream{}
+		now, toldRevision := start, uint64(0)
+		take := func(revision uint64) {
+			update := &replicator.Upstreams{Revision: revision}
+			for _, name := range slices.Sorted(maps.Keys(listed)) {
+				update.List = append(update.List, listed[name])
+			}
+			whole.Take(replicator.Snapshot{Upstreams: update}, now)
+			if toldRevision > 0 {
+				update = difference(told, listed, toldRevision, revision)
+			}
+			delta.Take(replicator.Snapshot{Upstreams: update}, now)
+			told, toldRevision = maps.Clone(listed), revision
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"change", "change", "leave", "expire", "outage"}).Draw(t, "action") {
+			case "change":
+				for range rapid.IntRange(1, 5).Draw(t, "number") {
+					name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
+					listed[name] = core.Upstream{Name: core.UpstreamName(name), Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
+				}
+			case "leave":
+				for range rapid.IntRange(1, 8).Draw(t, "number") {
+					delete(listed, fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream")))
+				}
+			case "expire":
+				whole.Expire(now)
+				delta.Expire(now)
+			case "outage":
+				whole.Failed(now)
+				delta.Failed(now)
+			}
+			take(uint64(step + 1))
+			compare(t, whole.Snapshot(), delta.Snapshot())
+		}
+	})
+}
+
+// difference returns what changed between two states.
+func difference(before, after map[string]core.Upstream, base, revision uint64) *replicator.Upstreams {
+	update := &replicator.Upstreams{Revision: revision, Base: base}
+	for name, u := range after {
+		if before[name] != u {
+			update.List = append(update.List, u)
+		}
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			update.Removed = append(update.Removed, core.UpstreamName(name))
+		}
+	}
+	return update
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -23,6 +23,7 @@
 package replicator
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +59,7 @@
 	Revision uint64          `cbor:"1,keyasint"`
 	List     []core.Upstream `cbor:"2,keyasint"`
 	// Base is 0 for a whole list. Otherwise List and Removed hold what changed
-	// after that revision.
+	// after that revision. A replicator's own list is whole and sorted by name.
 	Base    uint64              `cbor:"3,keyasint,omitempty"`
 	Removed []core.UpstreamName `cbor:"4,keyasint,omitempty"`
 	// ColdFor is for how many milliseconds upstreams stay cold. Hosts pass it on
@@ -161,7 +162,7 @@
 		r.current.Policy, changed.Policy = update.Policy, update.Policy
 	}
 	if u := update.Upstreams; u != nil && (r.current.Upstreams == nil || held.HasOlderUpstreams(update.Revisions())) {
-		if whole, ok := u.applyTo(r.current.Upstreams, now); ok {
+		if whole, ok := u.applyTo(r.listed(), now); ok {
 			r.setUpstreams(r.keepMissing(whole, now))
 			changed.Upstreams = r.current.Upstreams
 		}
@@ -175,6 +176,21 @@
 	r.tell(changed, now)
 }
 
+// listed returns the copy's upstreams without those that may have expired.
+func (r *Replicator) listed() *Upstreams {
+	current := r.current.Upstreams
+	if len(r.missing) == 0 {
+		return current
+	}
+	listed := &Upstreams{Revision: current.Revision}
+	for _, u := range current.List {
+		if _, isMissing := r.missing[u.Name]; !isMissing {
+			listed.List = append(listed.List, u)
+		}
+	}
+	return listed
+}
+
 // setUpstreams replaces the list and remembers what changed.
 func (r *Replicator) setUpstreams(next *Upstreams) {
 	r.changes.note(r.current.Upstreams, next)
@@ -190,26 +206,27 @@
 
 // keepMissing adds to the list the upstreams that may only have expired.
 func (r *Replicator) keepMissing(update *Upstreams, now time.Time) *Upstreams {
-	listed := make(map[core.UpstreamName]bool, len(update.List))
-	for _, u := range update.List {
-		listed[u.Name] = true
-	}
-	r.missing = r.lapsed(listed, now)
+	r.missing = r.lapsed(update, now)
 	if len(r.missing) == 0 {
 		return update
 	}
-	kept := &Upstreams{Revision: update.Revision, HasLapsed: true, List: append([]core.Upstream(nil), update.List...)}
+	kept := &Upstreams{Revision: update.Revision, HasLapsed: true, List: slices.Clone(update.List)}
 	for _, u := range r.missing {
 		kept.List = append(kept.List, u)
 	}
+	sortByName(kept.List)
 	return kept
 }
 
 // lapsed returns the upstreams that may have expired during an outage.
-func (r *Replicator) lapsed(listed map[core.UpstreamName]bool, now time.Time) map[core.UpstreamName]core.Upstream {
+func (r *Replicator) lapsed(update *Upstreams, now time.Time) map[core.UpstreamName]core.Upstream {
 	if r.current.Upstreams == nil || !now.Before(r.graceUntil) {
 		return nil
 	}
+	listed := make(map[core.UpstreamName]bool, len(update.List))
+	for _, u := range update.List {
+		listed[u.Name] = true
+	}
 	missing := map[core.UpstreamName]core.Upstream{}
 	for _, u := range r.current.Upstreams.List {
 		if !listed[u.Name] && !u.Draining {
@@ -229,12 +246,7 @@
 	if len(r.missing) == 0 || now.Before(r.graceUntil) {
 		return
 	}
-	next := &Upstreams{Revision: r.current.Upstreams.Revision}
-	for _, u := range r.current.Upstreams.List {
-		if _, isMissing := r.missing[u.Name]; !isMissing {
-			next.List = append(next.List, u)
-		}
-	}
+	next := r.listed()
 	r.missing = nil
 	r.setUpstreams(next)
 	r.tell(Snapshot{Upstreams: next}, now)
--- a/core/roster/listing.go
+++ b/core/roster/listing.go
@@ -26,11 +26,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var lapsed []core.Host
+	var live []core.HostName
+	for _, m := range r.live(now) {
+		live = append(live, m.host.Name)
+	}
 	for name, l := range r.listed {
 		if now.Sub(l.since) < lapseAfter || r.heardWithin(name, lapseAfter, now) {
 			continue
 		}
-		if r.isFirstOf(r.live(now), string(name)) {
+		if isFirstOf(r.Self.Name, live, string(name)) {
 			lapsed = append(lapsed, l.host)
 		}
 	}
--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -38,13 +38,14 @@
 // rendezvous hash; nil where this host does. The caller holds Roster.mu.
 func (r *Roster) zoneReader(now time.Time) *member {
 	zone := string(r.Self.Zone.Name)
+	limits := r.silenceLimits()
 	var first *member
-	best := weigh(r.Self.Name, zone)
-	for _, m := range r.live(now) {
-		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready {
+	best := core.Weigh(string(r.Self.Name), zone)
+	for _, m := range r.members {
+		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready || !limits.isLive(m, now) {
 			continue
 		}
-		if w := weigh(m.host.Name, zone); w > best {
+		if w := core.Weigh(string(m.host.Name), zone); w > best {
 			first, best = m, w
 		}
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -223,20 +223,48 @@
 
 // live returns the members whose heartbeats arrive. The caller holds Roster.mu.
 func (r *Roster) live(now time.Time) []*member {
-	near, far := r.turns(r.hosts())
-	var live []*member
+	limits := r.silenceLimits()
+	live := make([]*member, 0, len(r.members))
 	for _, m := range r.members {
-		turns := far
-		if m.host.Zone.Region == r.Self.Zone.Region {
-			turns = near
-		}
-		if !m.heard.IsZero() && now.Sub(m.heard) <= time.Duration(turns)*missedTurns*period {
+		if limits.isLive(m, now) {
 			live = append(live, m)
 		}
 	}
 	return live
 }
 
+// silenceLimits are the times without a heartbeat after which hosts of the own
+// region, and those of others, no longer count as live.
+type silenceLimits struct {
+	region    core.RegionName
+	near, far time.Duration
+}
+
+// silenceLimits returns the limits for the present number of hosts, of which in
+// large fleets only some are told in each period. The caller holds Roster.mu.
+func (r *Roster) silenceLimits() silenceLimits {
+	nearHosts := 0
+	for _, m := range r.members {
+		if m.host.Zone.Region == r.Self.Zone.Region {
+			nearHosts++
+		}
+	}
+	near, far := turnsOf(nearHosts, len(r.members)-nearHosts)
+	return silenceLimits{
+		region: r.Self.Zone.Region,
+		near:   time.Duration(near) * missedTurns * period,
+		far:    time.Duration(far) * missedTurns * period,
+	}
+}
+
+func (l silenceLimits) isLive(m *member, now time.Time) bool {
+	limit := l.far
+	if m.host.Zone.Region == l.region {
+		limit = l.near
+	}
+	return !m.heard.IsZero() && now.Sub(m.heard) <= limit
+}
+
 func (r *Roster) hosts() []core.Host {
 	hosts := make([]core.Host, 0, len(r.members))
 	for _, m := range r.members {
--- a/core/roster/turn.go
+++ b/core/roster/turn.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endiverun/endiverun/core"
 )
 
@@ -27,40 +25,45 @@
 	return told
 }
 
-// IsFirst reports whether this host is the one of its region's live hosts that
-// should watch an upstream of the region. Hosts that know different hosts may
-// both be first, or none.
-func (r *Roster) IsFirst(upstream core.UpstreamName, now time.Time) bool {
+// IsFirst returns a function that reports whether this host is the one of its
+// region's live hosts that should watch an upstream of the region. Hosts that
+// know different hosts may both be first, or none.
+func (r *Roster) IsFirst(now time.Time) func(core.UpstreamName) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var near []*member
+	var near []core.HostName
 	for _, m := range r.live(now) {
 		if m.host.Zone.Region == r.Self.Zone.Region {
-			near = append(near, m)
+			near = append(near, m.host.Name)
 		}
 	}
-	return r.isFirstOf(near, string(upstream))
+	return func(upstream core.UpstreamName) bool { return isFirstOf(r.Self.Name, near, string(upstream)) }
 }
 
-// isFirstOf reports whether this host comes before the others for a task, by
-// rendezvous hash. The caller holds Roster.mu.
-func (r *Roster) isFirstOf(others []*member, task string) bool {
-	own := weigh(r.Self.Name, task)
-	for _, m := range others {
-		if weigh(m.host.Name, task) > own {
+// isFirstOf reports whether a host comes before others for a task, by rendezvous
+// hash.
+func isFirstOf(host core.HostName, others []core.HostName, task string) bool {
+	own := core.Weigh(string(host), task)
+	for _, other := range others {
+		if core.Weigh(string(other), task) > own {
 			return false
 		}
 	}
 	return true
 }
 
-func weigh(host core.HostName, task string) uint64 {
-	return xxhash.Sum64String(string(host) + "\x00" + task)
-}
-
 // turns returns in how many periods all hosts of the own region, and all of
 // the others, are told once.
 func (r *Roster) turns(peers []core.Host) (near, far int) {
-	n := len(filter(peers, func(h core.Host) bool { return h.Zone.Region == r.Self.Zone.Region }))
-	return max(1, (n+nearTurn-1)/nearTurn), max(1, (len(peers)-n+farTurn-1)/farTurn)
+	n := 0
+	for i := range peers {
+		if peers[i].Zone.Region == r.Self.Zone.Region {
+			n++
+		}
+	}
+	return turnsOf(n, len(peers)-n)
+}
+
+func turnsOf(nearHosts, farHosts int) (near, far int) {
+	return max(1, (nearHosts+nearTurn-1)/nearTurn), max(1, (farHosts+farTurn-1)/farTurn)
 }
--- a/entry/controller/check.go
+++ b/entry/controller/check.go
@@ -155,9 +155,10 @@
 		if policy == nil || c.contact.isConfirmed(now) {
 			return
 		}
+		isFirst := c.roster.IsFirst(now)
 		for _, upstream := range c.placer.Near(now) {
 			path := policy.Services[upstream.Service].HealthPath
-			if path == "" || !c.roster.IsFirst(upstream.Name, now) {
+			if path == "" || !isFirst(upstream.Name) {
 				continue
 			}
 			c.prober.start(upstream.Name, func() {
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -12,6 +12,7 @@
 	"github.com/endiverun/endiverun/entry/heartbeater"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/waiter"
+	"github.com/endiverun/endiverun/entry/watcher"
 )
 
 const (
@@ -28,6 +29,23 @@
 	c.replicator.Take(update, now)
 }
 
+// TakeChanges puts in force how the upstreams changed after a revision.
+func (c *Controller) TakeChanges(after uint64, changes watcher.Changes[core.Upstream]) {
+	last := make(map[string]watcher.Change[core.Upstream], len(changes.List))
+	for _, one := range changes.List {
+		last[one.Name] = one
+	}
+	update := &replicator.Upstreams{Revision: changes.Revision, Base: after}
+	for name, one := range last {
+		if one.IsRemoved {
+			update.Removed = append(update.Removed, core.UpstreamName(name))
+			continue
+		}
+		update.List = append(update.List, one.Object)
+	}
+	c.Take(replicator.Snapshot{Upstreams: update}, time.Now())
+}
+
 // apply puts a new state in force.
 func (c *Controller) apply(now time.Time, current, changed replicator.Snapshot) {
 	if p := changed.Policy; p != nil {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -73,7 +73,7 @@
 
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy is in force on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored routing policy cannot be read; the last one holds."}
-	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "An entry of a routing policy cannot be read as it was meant; the others are in force."}
+	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "An entry of a policy cannot be read; the others hold."}
 
 	SettingsReloaded   = Event{105, "settings-reloaded", zerolog.InfoLevel, "The settings file was read again."}
 	ListenFailed       = Event{106, "listen-failed", zerolog.ErrorLevel, "An address of the host cannot be served."}
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -56,6 +56,9 @@
 	// OnChange gets all objects of the kind after each change, with the
 	// revision of the store that they reflect. The map belongs to the watcher.
 	OnChange func(objects map[string]T, revision uint64)
+	// OnDelta gets the changes after a revision in place of all objects, where it
+	// is set and they are known.
+	OnDelta func(after uint64, changes Changes[T])
 	// Gate joins the watchers of one store; nil makes one of its own.
 	Gate *Gate
 	// OnAnswer and OnFailure are told of each answer and failure of the store.
@@ -64,6 +67,8 @@
 
 	objects  map[string]T
 	revision uint64
+	// told is the revision of the last state or change that was handed over.
+	told uint64
 }
 
 // Run follows the kind until ctx ends.
@@ -115,9 +120,15 @@
 		}
 		w.objects[c.Name] = c.Object
 	}
-	if len(changes.List) > 0 {
+	switch {
+	case len(changes.List) == 0:
+		return nil
+	case w.OnDelta != nil:
+		w.OnDelta(w.told, changes)
+	default:
 		w.OnChange(w.objects, w.revision)
 	}
+	w.told = w.revision
 	return nil
 }
 
@@ -128,5 +139,6 @@
 	}
 	w.revision, w.objects = list.Revision, list.Objects
 	w.OnChange(w.objects, w.revision)
+	w.told = w.revision
 	return nil
 }
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -144,3 +144,34 @@
 		group.Wait()
 	})
 }
+
+// TestDeltaBeginsAtTheLastState is the pattern of a kind that stays as it is while
+// others change: the revision moves on without a change of the kind, and the next
+// change counts from the state that was handed over last.
+func TestDeltaBeginsAtTheLastState(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	answers := []Changes[int]{
+		{Revision: 4},
+		{Revision: 9, List: []Change[int]{{Name: "a", Object: 1}}},
+		{Revision: 12, List: []Change[int]{{Name: "a", IsRemoved: true}}},
+	}
+	var bases []uint64
+	w := &Watcher[int]{
+		List: func() (List[int], error) { return List[int]{Objects: map[string]int{}, Revision: 2}, nil },
+		Watch: func(uint64, time.Duration) (Changes[int], error) {
+			next := answers[0]
+			answers = answers[1:]
+			if len(answers) == 0 {
+				stop()
+			}
+			return next, nil
+		},
+		OnChange:  func(map[string]int, uint64) {},
+		OnDelta:   func(after uint64, _ Changes[int]) { bases = append(bases, after) },
+		OnAnswer:  func() {},
+		OnFailure: func(err error) { t.Error(err) },
+	}
+	w.Run(ctx)
+	is.Equal(bases, []uint64{2, 9})
+}
