Bounds on shifted traffic and on naming a dead host come from the settings; heartbeats by zone, region and rest

Cause: moves between regions were fixed parts that fit a bound of 0.15 and break a smaller one. A host of a region of 98 was heard every 2.5 s and named for up to 12.5 s after its end, above the bound of 8 s; a rare far host was forgotten although it lives.

Hosts of the own zone are told most often, then those of the region, then the rest, 36 a period at most; the silence after which a host is not named comes from the settings. Figures: at 295 hosts the own zone is told every 2 periods (was 5), at 1,300 every period.

TestHeartbeatsOfLargeFleet had all hosts of a region in one zone; it now plays four sizes with real zones and asserts the turns of each ring.

--- a/core/host.go
+++ b/core/host.go
@@ -36,6 +36,15 @@
 	PeerAddress string `json:"peer-address" cbor:"5,keyasint"`
 }
 
+// Check returns an error of type ErrPeer where a field is missing without which
+// the host cannot be reached.
+func (h Host) Check() error {
+	if h.Name == "" || h.ClientAddress == "" || h.PeerAddress == "" {
+		return ErrPeer.New("host %q lacks its name or an address", h.Name)
+	}
+	return nil
+}
+
 // Life identifies one life of a host.
 type Life struct {
 	Host        HostName
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -14,7 +14,7 @@
 func (p *Placer) SetUpstreams(list []core.Upstream, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.moves.part, p.migrations.part = moveShare, migrateShare
+	p.moves.part, p.migrations.part = shiftByMoves*p.maxShift(), migrateShare
 	isStart := p.upstreams == nil && !p.AssumeCold
 	next := make(map[core.UpstreamName]*upstream, len(list))
 	for _, item := range list {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -42,6 +42,10 @@
 	// AssumeCold says that the upstreams of the first list may be cold: the
 	// host starts while others serve, and does not know what happened before.
 	AssumeCold bool
+	// MaxShift is the part of a region's requests that may change the region in
+	// which they run from one window of two seconds to the next; 0 means the
+	// default. SetMaxShift changes it.
+	MaxShift float64
 
 	mu        sync.Mutex
 	policy    *core.RoutingPolicy
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	// shareRate is how fast the planned share of a region moves, in parts of
-	// all requests a second. Twice this and moveShare together stay below the
-	// 15% of a region's requests that may move between two windows of 2 s.
-	shareRate = 0.02
-	// moveShare is the part of requests that may leave the planned region.
-	moveShare = 0.10
+	// shiftByMoves is the part of the bound on shifted traffic that requests may
+	// take which leave their planned region, and shiftByPlan that by which the
+	// planned share of a region moves in a second. A window is two seconds, and the
+	// plans of two windows differ by up to twice their movement.
+	shiftByMoves = 2.0 / 3
+	shiftByPlan  = 2.0 / 15
+	// defaultMaxShift is the bound where none is stated.
+	defaultMaxShift = 0.15
 	// migrateShare is the part of requests whose object may get another
 	// upstream although one knows it.
 	migrateShare = 0.03
@@ -120,7 +122,7 @@
 		return
 	}
 	s.plan.adjusted = now
-	step := shareRate * min(elapsed, time.Second).Seconds()
+	step := shiftByPlan * p.maxShift() * min(elapsed, time.Second).Seconds()
 	s.plan.scale(p.fairShare(s))
 	near, far := p.loads(s, now)
 	s.plan.nearLoad += loadWeight * (near - s.plan.nearLoad)
@@ -128,6 +130,23 @@
 	s.plan.move(step)
 }
 
+// maxShift returns the part of a region's requests that may change their region
+// between two windows.
+func (p *Placer) maxShift() float64 {
+	if p.MaxShift <= 0 {
+		return defaultMaxShift
+	}
+	return p.MaxShift
+}
+
+// SetMaxShift changes MaxShift.
+func (p *Placer) SetMaxShift(part float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.MaxShift = part
+	p.moves.part = shiftByMoves * p.maxShift()
+}
+
 // scale shrinks the share at once when near upstreams leave. It grows again
 // with the load that they are seen to bear.
 func (p *plan) scale(fair float64) {
--- a/core/roster/listing.go
+++ b/core/roster/listing.go
@@ -8,11 +8,6 @@
 	"github.com/endiverun/endiverun/core"
 )
 
-// lapseAfter is how long a listed host must be silent before its registration
-// is removed. It is well above forgetAfter, so that the registration no longer
-// counts for anything by then.
-const lapseAfter = 2 * forgetAfter
-
 // listing is a registration and since when this host knows it.
 type listing struct {
 	host  core.Host
@@ -30,8 +25,11 @@
 	for _, m := range r.live(now) {
 		live = append(live, m.host.Name)
 	}
+	g := r.rings()
 	for name, l := range r.listed {
-		if now.Sub(l.since) < lapseAfter || r.heardWithin(name, lapseAfter, now) {
+		// By then the registration has not counted for anything for a while.
+		limit := 2 * g.forgetAfter(l.host.Zone)
+		if now.Sub(l.since) < limit || r.heardWithin(name, limit, now) {
 			continue
 		}
 		if isFirstOf(r.Self.Name, live, string(name)) {
--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -38,11 +38,11 @@
 // rendezvous hash; nil where this host does. The caller holds Roster.mu.
 func (r *Roster) zoneReader(now time.Time) *member {
 	zone := string(r.Self.Zone.Name)
-	limits := r.silenceLimits()
+	g := r.rings()
 	var first *member
 	best := core.Weigh(string(r.Self.Name), zone)
 	for _, m := range r.members {
-		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready || !limits.isLive(m, now) {
+		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready || !g.isLive(m, now) {
 			continue
 		}
 		if w := core.Weigh(string(m.host.Name), zone); w > best {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -25,17 +25,13 @@
 )
 
 const (
-	// nearTurn and farTurn are how many hosts of the own and of other regions
-	// are told in each period, so that heartbeats cost the same in a large
-	// fleet. Hosts of other regions are heard less often there.
-	nearTurn = 24
-	farTurn  = 12
 	// period is the time between two heartbeats.
 	period = 500 * time.Millisecond
 	// missedTurns is how many heartbeats in a row may be lost.
 	missedTurns = 5
-	// forgetAfter is how long a silent host still counts for shared limits.
-	forgetAfter = 30 * time.Second
+	// minForget is the least time for which a silent host still counts for shared
+	// limits.
+	minForget = 30 * time.Second
 	// enoughHosts is how many hosts of a client's own zone serve it without
 	// those of the region's other zones: one may fail.
 	enoughHosts = 2
@@ -60,6 +56,10 @@
 // Roster is one host's knowledge of all hosts.
 type Roster struct {
 	Self core.Host
+	// MaxSilence bounds the silence after which a host is no longer named to
+	// clients; 0 means that only the number of missed heartbeats counts. SetSilence
+	// changes it.
+	MaxSilence time.Duration
 
 	mu      sync.Mutex
 	isReady bool
@@ -89,6 +89,13 @@
 	known time.Time
 }
 
+// SetSilence changes MaxSilence.
+func (r *Roster) SetSilence(limit time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.MaxSilence = limit
+}
+
 // SetReady states whether this host takes requests.
 func (r *Roster) SetReady(ready bool) {
 	r.mu.Lock()
@@ -172,8 +179,9 @@
 }
 
 func (r *Roster) forget(now time.Time) {
+	g := r.rings()
 	for name, m := range r.members {
-		if now.Sub(m.known) > forgetAfter {
+		if now.Sub(m.known) > g.forgetAfter(m.host.Zone) {
 			delete(r.members, name)
 		}
 	}
@@ -223,48 +231,16 @@
 
 // live returns the members whose heartbeats arrive. The caller holds Roster.mu.
 func (r *Roster) live(now time.Time) []*member {
-	limits := r.silenceLimits()
+	g := r.rings()
 	live := make([]*member, 0, len(r.members))
 	for _, m := range r.members {
-		if limits.isLive(m, now) {
+		if g.isLive(m, now) {
 			live = append(live, m)
 		}
 	}
 	return live
 }
 
-// silenceLimits are the times without a heartbeat after which hosts of the own
-// region, and those of others, no longer count as live.
-type silenceLimits struct {
-	region    core.RegionName
-	near, far time.Duration
-}
-
-// silenceLimits returns the limits for the present number of hosts, of which in
-// large fleets only some are told in each period. The caller holds Roster.mu.
-func (r *Roster) silenceLimits() silenceLimits {
-	nearHosts := 0
-	for _, m := range r.members {
-		if m.host.Zone.Region == r.Self.Zone.Region {
-			nearHosts++
-		}
-	}
-	near, far := turnsOf(nearHosts, len(r.members)-nearHosts)
-	return silenceLimits{
-		region: r.Self.Zone.Region,
-		near:   time.Duration(near) * missedTurns * period,
-		far:    time.Duration(far) * missedTurns * period,
-	}
-}
-
-func (l silenceLimits) isLive(m *member, now time.Time) bool {
-	limit := l.far
-	if m.host.Zone.Region == l.region {
-		limit = l.near
-	}
-	return !m.heard.IsZero() && now.Sub(m.heard) <= limit
-}
-
 func (r *Roster) hosts() []core.Host {
 	hosts := make([]core.Host, 0, len(r.members))
 	for _, m := range r.members {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -127,34 +126,81 @@
 	is.True(!ok) // no longer live
 }
 
+// largeFleet returns n hosts in regions of three zones each. The first is of the
+// first zone of the first region.
+func largeFleet(n, regions int) []core.Host {
+	const zonesARegion = 3
+	var hosts []core.Host
+	for i := range n {
+		region := "region-" + strconv.Itoa(i%regions)
+		zone := region + "-" + strconv.Itoa(i/regions%zonesARegion)
+		hosts = append(hosts, host("host-"+strconv.Itoa(i), zone, region, 1))
+	}
+	return hosts
+}
+
 // TestHeartbeatsOfLargeFleet checks that what a host tells in a period stays
-// bounded, and that every host is told before it would count as dead.
+// bounded, that its own zone is told most often, and that every host is told
+// before it would be forgotten.
 func TestHeartbeatsOfLargeFleet(t *testing.T) {
-	is := is.New(t)
-	r := newRoster()
-	for i := range 1300 {
-		region := "region-" + strconv.Itoa(i%30)
-		if i%30 == 0 {
-			region = "for"
-		}
-		r.Hear(roster.Heartbeat{Host: host("host-"+strconv.Itoa(i), "zone", region, 1)}, start)
+	tests := []struct {
+		hosts, regions int
+		// zoneTurns, regionTurns and allTurns are the periods in which all hosts of
+		// the own zone, of the own region and of the fleet are told.
+		zoneTurns, regionTurns, allTurns int
+	}{
+		{12, 3, 1, 1, 1},
+		{76, 3, 1, 2, 7},
+		{295, 3, 2, 6, 25},
+		{1300, 30, 1, 3, 158},
 	}
-	told := map[core.HostName]bool{}
-	for turn := range 110 {
-		list := r.Turn(turn, start)
-		is.True(len(list) <= 36)
-		for _, h := range list {
-			told[h.Name] = true
-		}
-		if turn == 1 {
-			near := 0
-			for name := range told {
-				if i, err := strconv.Atoi(strings.TrimPrefix(string(name), "host-")); err == nil && i%30 == 0 {
-					near++
+	for _, tt := range tests {
+		t.Run(strconv.Itoa(tt.hosts), func(t *testing.T) {
+			is := is.New(t)
+			fleet := largeFleet(tt.hosts, tt.regions)
+			self := fleet[0]
+			r := &roster.Roster{Self: self}
+			for _, h := range fleet[1:] {
+				r.Hear(roster.Heartbeat{Host: h}, start)
+			}
+			first := map[core.HostName]int{}
+			for turn := range tt.allTurns {
+				due := r.Turn(turn, start)
+				is.True(len(due) <= 36)
+				for _, h := range due {
+					if _, ok := first[h.Name]; !ok {
+						first[h.Name] = turn
+					}
 				}
 			}
-			is.Equal(near, 44) // the own region in two periods
-		}
+			for _, h := range fleet[1:] {
+				turn, ok := first[h.Name]
+				is.True(ok)
+				is.True(h.Zone != self.Zone || turn < tt.zoneTurns)
+				is.True(h.Zone.Region != self.Zone.Region || turn < tt.regionTurns)
+			}
+		})
+	}
+}
+
+// TestDeadHostOfLargeFleet is the pattern of a host that is killed in a zone of so
+// many that not all are told in each period: it is not named for longer than in
+// a small one, and those that lose a heartbeat stay named.
+func TestDeadHostOfLargeFleet(t *testing.T) {
+	is := is.New(t)
+	const (
+		maxSilence = 5 * time.Second
+		interval   = time.Second // two periods
+	)
+	fleet := largeFleet(295, 3)
+	r := &roster.Roster{Self: fleet[0], MaxSilence: maxSilence}
+	r.SetReady(true)
+	for _, h := range fleet[1:] {
+		r.Hear(roster.Heartbeat{Host: h, Ready: true}, start)
 	}
-	is.Equal(len(told), 1300)
+	ask := query(string(fleet[0].Zone.Name), string(fleet[0].Zone.Region))
+	named := len(r.Resolve(ask, start))
+	is.True(named > 30)
+	is.Equal(len(r.Resolve(ask, start.Add(2*interval+interval/2))), named)
+	is.Equal(r.Resolve(ask, start.Add(maxSilence+time.Millisecond)), []string{"host-0"})
 }
--- a/core/roster/turn.go
+++ b/core/roster/turn.go
@@ -9,20 +9,19 @@
 // Turn returns the hosts that are told in the given period.
 func (r *Roster) Turn(turn int, now time.Time) []core.Host {
 	peers := r.Peers(now)
-	near, far := r.turns(peers)
-	var told []core.Host
-	nearSeen, farSeen := 0, 0
+	r.mu.Lock()
+	g := r.rings()
+	r.mu.Unlock()
+	var due []core.Host
+	var seen [ringCount]int
 	for _, p := range peers {
-		seen, turns := &farSeen, far
-		if p.Zone.Region == r.Self.Zone.Region {
-			seen, turns = &nearSeen, near
-		}
-		if (*seen+turn)%turns == 0 {
-			told = append(told, p)
+		at := g.of(p.Zone)
+		if (seen[at]+turn)%g.turns[at] == 0 {
+			due = append(due, p)
 		}
-		*seen++
+		seen[at]++
 	}
-	return told
+	return due
 }
 
 // IsFirst returns a function that reports whether this host is the one of its
@@ -51,19 +50,3 @@
 	}
 	return true
 }
-
-// turns returns in how many periods all hosts of the own region, and all of
-// the others, are told once.
-func (r *Roster) turns(peers []core.Host) (near, far int) {
-	n := 0
-	for i := range peers {
-		if peers[i].Zone.Region == r.Self.Zone.Region {
-			n++
-		}
-	}
-	return turnsOf(n, len(peers)-n)
-}
-
-func turnsOf(nearHosts, farHosts int) (near, far int) {
-	return max(1, (nearHosts+nearTurn-1)/nearTurn), max(1, (farHosts+farTurn-1)/farTurn)
-}
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -69,6 +69,19 @@
 	WarmUpSlack   float64
 	// Grace is the time between the order to stop and the end.
 	Grace time.Duration
+	// MaxShift is the part of a region's requests that may change their region
+	// between two windows of two seconds; 0 means the default.
+	MaxShift float64
+	// Silence is how long after its end a host may be named to clients; 0 means
+	// that only missed heartbeats count.
+	Silence time.Duration
+}
+
+// maxSilence is the silence after which a host is no longer named. The rest of the
+// bound is the time for which others keep lists.
+func (b *Bounds) maxSilence() time.Duration {
+	const part = 0.65
+	return time.Duration(part * float64(b.Silence))
 }
 
 // Controller runs one host.
@@ -135,7 +148,7 @@
 	dial := caller.NewDialer(unackedLimit)
 	c.replicator = &replicator.Replicator{OnChange: c.apply}
 	c.pacer = &pacer.Pacer{Self: c.Self.Name, Overage: c.Bounds.WarmUpOverage, Slack: c.Bounds.WarmUpSlack}
-	c.placer = &placer.Placer{Zone: c.Self.Zone, Regions: c.Regions, Pacer: c.pacer, AssumeCold: !c.IsFirstStart}
+	c.placer = &placer.Placer{Zone: c.Self.Zone, Regions: c.Regions, Pacer: c.pacer, AssumeCold: !c.IsFirstStart, MaxShift: c.Bounds.MaxShift}
 	c.retrier = &retrier.Retrier{
 		Window:    c.Bounds.RetryWindow,
 		Fraction:  c.Bounds.RetryFraction,
@@ -143,7 +156,7 @@
 	}
 	c.urgent = make(chan struct{}, 1)
 	c.near = make(chan struct{}, 1)
-	c.roster = &roster.Roster{Self: c.Self}
+	c.roster = &roster.Roster{Self: c.Self, MaxSilence: c.Bounds.maxSilence()}
 	c.exchanger = &exchanger.Exchanger{
 		Fields:         c.UpstreamFields,
 		Dial:           dial,
@@ -208,6 +221,8 @@
 	c.retrier.SetBudget(bounds.RetryFraction, bounds.RetryAllowance)
 	c.pacer.SetBound(bounds.WarmUpOverage, bounds.WarmUpSlack)
 	c.grace.Store(int64(bounds.Grace))
+	c.placer.SetMaxShift(bounds.MaxShift)
+	c.roster.SetSilence(bounds.maxSilence())
 }
 
 // SetSeeds changes the seeds of a running host.
