The largest host of a zone reads the store; a starting system leaves the first reads to it

Cause, by the logs of 295 hosts: all hosts read the store at the start, and again whenever a host that came before the reader became ready without reading yet, or the reader, a small host with a narrow link, served 33 copies too slowly (176 returns to the store in 10 s; 4,673 priced calls in 24 s).

The reader of a zone is the host of the greatest capacity. A host follows the first of those that do read. A system that starts for the first time listens for 0.7 s and waits for the reader. The times of a follower come from the bounds of the settings.

TestReader and its kin hold unchanged; new: TestReaderOfGreatCapacity, TestFirstStartAwaitsReader.

--- a/core/host.go
+++ b/core/host.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"net/netip"
 	"strconv"
 )
@@ -34,6 +35,23 @@
 	ClientAddress string `json:"client-address" cbor:"4,keyasint"`
 	// PeerAddress is the IP address and UDP port for other hosts.
 	PeerAddress string `json:"peer-address" cbor:"5,keyasint"`
+	// Capacity is what the host can do beside its requests, to compare hosts; 0
+	// where it is not known.
+	Capacity Capacity `json:"capacity,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// Capacity is the scarcer of a host's processor, in thousandths of a core, and its
+// link, in units of 100 kbit/s.
+type Capacity uint32
+
+// NewCapacity returns the capacity of a host with the given part of a core and
+// link.
+func NewCapacity(cores, linkMbps float64) Capacity {
+	const (
+		perCore = 1000
+		perMbps = 10
+	)
+	return Capacity(max(0, min(cores*perCore, linkMbps*perMbps, math.MaxUint32)))
 }
 
 // Check returns an error of type ErrPeer where a field is missing without which
--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -10,43 +10,71 @@
 	// smallFleet is the number of hosts up to which each reads the store itself:
 	// there the calls cost little, and no host depends on another.
 	smallFleet = 24
-	// readerTrust is how old the last contact of a zone's reader with the store
-	// may be, as far as this host knows. Beyond it the host reads the store
-	// itself, which leaves it half of the shortest time in which a change must be
-	// in force.
-	readerTrust = 1500 * time.Millisecond
+	// defaultTrust is how old the last contact of a zone's reader with the store
+	// may be, as far as this host knows, where no bound is stated.
+	defaultTrust = 1500 * time.Millisecond
+	// trustPart is the part of the time in which a change must be in force that
+	// this may be. Beyond it the host reads the store itself, in the rest.
+	trustPart = 0.6
 )
 
-// Reader returns the host of the own zone that reads the store for the others,
-// and how new its copy is. It returns false where this host should read the
-// store itself: in a small fleet, as the zone's reader, or where the reader is
-// silent or does not reach the store.
+// trust returns how old the reader's last contact with the store may be. The
+// caller holds Roster.mu.
+func (r *Roster) trust() time.Duration {
+	if r.InForce <= 0 {
+		return defaultTrust
+	}
+	return time.Duration(trustPart * float64(r.InForce))
+}
+
+// rank is the order in which hosts of a zone read the store for the others: the
+// one of the greatest capacity first, and of several the first by rendezvous
+// hash.
+type rank struct {
+	capacity core.Capacity
+	weight   uint64
+}
+
+func rankOf(host core.Host) rank {
+	return rank{capacity: host.Capacity, weight: core.Weigh(string(host.Name), string(host.Zone.Name))}
+}
+
+func (k rank) isAbove(other rank) bool {
+	return k.capacity > other.capacity || k.capacity == other.capacity && k.weight > other.weight
+}
+
+// Reader returns the host of the own zone that reads the store for this one, and
+// how new its copy is: the first of those that read it, where that comes before
+// this host. It returns false where this host should read the store itself: in a
+// small fleet, or where those before it are silent or do not reach the store.
 func (r *Roster) Reader(now time.Time) (core.Host, core.Revisions, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.members) < smallFleet {
-		return core.Host{}, core.Revisions{}, false
-	}
-	m := r.zoneReader(now)
-	if m == nil || !m.beat.Reads || now.Sub(m.heard)+m.beat.StoreAge.Duration() > readerTrust {
+	m := r.reader(now)
+	if m == nil {
 		return core.Host{}, core.Revisions{}, false
 	}
 	return m.host, m.beat.Revisions, true
 }
 
-// zoneReader returns the live member that comes first in the own zone, by
-// rendezvous hash; nil where this host does. The caller holds Roster.mu.
-func (r *Roster) zoneReader(now time.Time) *member {
-	zone := string(r.Self.Zone.Name)
+// reader returns the member that reads the store for this host; nil where there is
+// none. The caller holds Roster.mu.
+func (r *Roster) reader(now time.Time) *member {
+	if len(r.members) < smallFleet {
+		return nil
+	}
 	g := r.rings()
 	var first *member
-	best := core.Weigh(string(r.Self.Name), zone)
+	best := rankOf(r.Self)
 	for _, m := range r.members {
-		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready || !g.isLive(m, now) {
+		if m.host.Zone.Name != r.Self.Zone.Name || !m.beat.Ready || !m.beat.Reads || !g.isLive(m, now) {
+			continue
+		}
+		if now.Sub(m.heard)+m.beat.StoreAge.Duration() > r.trust() {
 			continue
 		}
-		if w := core.Weigh(string(m.host.Name), zone); w > best {
-			first, best = m, w
+		if k := rankOf(m.host); k.isAbove(best) {
+			first, best = m, k
 		}
 	}
 	return first
@@ -56,7 +84,25 @@
 func (r *Roster) IsReader(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.members) >= smallFleet && r.zoneReader(now) == nil
+	return len(r.members) >= smallFleet && r.reader(now) == nil
+}
+
+// Leads reports whether no live host of the own zone, ready or not, should read the
+// store rather than this one.
+func (r *Roster) Leads(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.members) < smallFleet {
+		return true
+	}
+	g := r.rings()
+	own := rankOf(r.Self)
+	for _, m := range r.members {
+		if m.host.Zone.Name == r.Self.Zone.Name && g.isLive(m, now) && rankOf(m.host).isAbove(own) {
+			return false
+		}
+	}
+	return true
 }
 
 // ZonePeers returns the other hosts of the own zone that may be alive.
--- a/core/roster/reader_test.go
+++ b/core/roster/reader_test.go
@@ -72,6 +72,40 @@
 	}
 }
 
+// TestReaderOfGreatCapacity is the pattern of hosts of unequal size: the zone's
+// reader is the one of the greatest capacity, and while that does not read yet,
+// the hosts that depended on another one still do.
+func TestReaderOfGreatCapacity(t *testing.T) {
+	is := is.New(t)
+	const hosts = 60
+	fleet := zonedFleet(hosts, 0, start)
+	mighty := fleet[3].Self // of the first zone
+	mighty.Capacity = 800
+	for _, reads := range []bool{false, true} {
+		for _, r := range fleet {
+			if r.Self.Name != mighty.Name {
+				r.Hear(roster.Heartbeat{Host: mighty, Ready: true, Reads: reads}, start)
+			}
+		}
+		fleet[3].Self = mighty
+		is.True(fleet[3].Leads(start))
+		followers := 0
+		for _, r := range fleet {
+			if reader, _, ok := r.Reader(start); ok && r.Self.Zone == mighty.Zone {
+				is.Equal(reader.Name == mighty.Name, reads)
+				followers++
+			}
+		}
+		// Of the zone's twenty hosts all but the reader follow: until it reads, the
+		// former reader reads beside it.
+		if reads {
+			is.Equal(followers, hosts/3-1)
+		} else {
+			is.Equal(followers, hosts/3-2)
+		}
+	}
+}
+
 // TestReaderThatFollows checks that no host depends on one that does not read the
 // store itself.
 func TestReaderThatFollows(t *testing.T) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -60,6 +60,9 @@
 	// clients; 0 means that only the number of missed heartbeats counts. SetSilence
 	// changes it.
 	MaxSilence time.Duration
+	// InForce is the time in which a change of the store must be in force; 0 means
+	// a default. SetInForce changes it.
+	InForce time.Duration
 
 	mu      sync.Mutex
 	isReady bool
@@ -96,6 +99,13 @@
 	r.MaxSilence = limit
 }
 
+// SetInForce changes InForce.
+func (r *Roster) SetInForce(limit time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.InForce = limit
+}
+
 // SetReady states whether this host takes requests.
 func (r *Roster) SetReady(ready bool) {
 	r.mu.Lock()
--- a/entry/controller/check_test.go
+++ b/entry/controller/check_test.go
@@ -35,9 +35,10 @@
 	return core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: listener.Addr().String(), Slots: 4}
 }
 
-func newController(name core.HostName, upstreams ...core.Upstream) *Controller {
+// newBareController returns a host that is not prepared yet.
+func newBareController(name core.HostName) *Controller {
 	zone := core.Zone{Name: "for-a", Region: "for"}
-	c := &Controller{
+	return &Controller{
 		Self:           core.Host{Name: name, Zone: zone, Incarnation: 1, PeerAddress: "127.0.0.1:1"},
 		Regions:        map[core.ZoneName]core.RegionName{"for-a": "for"},
 		IsFirstStart:   true,
@@ -45,6 +46,10 @@
 		Log:            logger.New(io.Discard, "error", core.Host{Name: name}),
 		Bounds:         Bounds{RetryWindow: time.Second, WarmUpOverage: 1.5, WarmUpSlack: 5},
 	}
+}
+
+func newController(name core.HostName, upstreams ...core.Upstream) *Controller {
+	c := newBareController(name)
 	c.Init()
 	now := time.Now()
 	c.Take(replicator.Snapshot{
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -55,6 +55,10 @@
 	lingerTime = 2200 * time.Millisecond
 	// lingerPart bounds it to a part of the grace period.
 	lingerPart = 3
+	// minFetch and minGather are the least values where changes must be in force
+	// very soon.
+	minFetch  = 300 * time.Millisecond
+	minGather = 100 * time.Millisecond
 )
 
 // Bounds are the limits that hold over all hosts, and the times that an
@@ -72,6 +76,8 @@
 	// MaxShift is the part of a region's requests that may change their region
 	// between two windows of two seconds; 0 means the default.
 	MaxShift float64
+	// InForce is the shortest time in which a change of the store must be in force.
+	InForce time.Duration
 	// Silence is how long after its end a host may be named to clients; 0 means
 	// that only missed heartbeats count.
 	Silence time.Duration
@@ -84,6 +90,20 @@
 	return time.Duration(part * float64(b.Silence))
 }
 
+// fetchTimeout bounds the fetch of another host's copy. A host that follows a
+// silent one must turn to the store in time.
+func (b *Bounds) fetchTimeout() time.Duration {
+	const part = 0.2
+	return max(minFetch, time.Duration(part*float64(b.InForce)))
+}
+
+// Gather is the pause after a change before the next one is asked for, so that
+// changes made together cost one call.
+func (b *Bounds) Gather() time.Duration {
+	const part = 0.08
+	return max(minGather, time.Duration(part*float64(b.InForce)))
+}
+
 // Controller runs one host.
 type Controller struct {
 	Self    core.Host
@@ -107,8 +127,9 @@
 	// SnapshotAddress returns where another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
 	// SetReading starts and stops the reads that are handed to Take; nil means
-	// that this host always reads.
-	SetReading func(isReading bool)
+	// that this host always reads. A host reads from the beginning unless the
+	// whole system starts for the first time.
+	SetReading func(reading Reading)
 	// ReachStore makes a cheap call to the store; nil where there is none.
 	ReachStore func() error
 	// Unregister takes the host off the list that others read; nil where there
@@ -123,6 +144,7 @@
 	exchanger  *exchanger.Exchanger
 	forwarder  *forwarder.Forwarder
 	fetcher    heartbeater.Fetcher
+	copier     copier
 
 	seeds     atomic.Pointer[[]string]
 	grace     atomic.Int64
@@ -130,12 +152,11 @@
 	hosts     atomic.Int64
 	isLeaving atomic.Bool
 	isReady   atomic.Bool
-	// isFollowing says that another host reads the store for this one.
-	isFollowing atomic.Bool
-	contact     contact
-	cold        coldList
-	prober      prober
-	urgent      chan struct{}
+	reading   atomic.Int32
+	contact   contact
+	cold      coldList
+	prober    prober
+	urgent    chan struct{}
 	// near asks for a heartbeat to the hosts of the own zone.
 	near chan struct{}
 }
@@ -156,7 +177,7 @@
 	}
 	c.urgent = make(chan struct{}, 1)
 	c.near = make(chan struct{}, 1)
-	c.roster = &roster.Roster{Self: c.Self, MaxSilence: c.Bounds.maxSilence()}
+	c.roster = &roster.Roster{Self: c.Self, MaxSilence: c.Bounds.maxSilence(), InForce: c.Bounds.InForce}
 	c.exchanger = &exchanger.Exchanger{
 		Fields:         c.UpstreamFields,
 		Dial:           dial,
@@ -179,6 +200,10 @@
 	}
 	c.seeds.Store(&c.Seeds)
 	c.grace.Store(int64(c.Bounds.Grace))
+	if c.IsFirstStart && c.SetReading != nil {
+		c.reading.Store(int32(ReadsHosts))
+		c.SetReading(ReadsHosts)
+	}
 	c.observe()
 }
 
@@ -223,6 +248,7 @@
 	c.grace.Store(int64(bounds.Grace))
 	c.placer.SetMaxShift(bounds.MaxShift)
 	c.roster.SetSilence(bounds.maxSilence())
+	c.roster.SetInForce(bounds.InForce)
 }
 
 // SetSeeds changes the seeds of a running host.
@@ -296,7 +322,7 @@
 // Snapshot returns what the host's copy of the store has beyond the given
 // revisions, as other hosts read it.
 func (c *Controller) Snapshot(held core.Revisions, now time.Time) ([]byte, error) {
-	return heartbeater.EncodeSnapshot(c.replicator.Changes(held, now))
+	return c.copier.encode(c.replicator, held, now)
 }
 
 // maxConnections returns this host's part of an upstream's connections; 0
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -19,29 +19,67 @@
 	// reader looks more often, since others depend on it.
 	probeEvery       = time.Second
 	readerProbeEvery = 500 * time.Millisecond
+	// listenFirst is how long a host of a system that starts listens for others
+	// before it reads the store, and maxFirstWait how long it waits for its reader.
+	listenFirst  = 700 * time.Millisecond
+	maxFirstWait = 1500 * time.Millisecond
+)
+
+// Reading says what of the store a host reads itself.
+type Reading int32
+
+const (
+	// ReadsAll is the reading of a host that follows no other.
+	ReadsAll Reading = iota
+	// ReadsHosts is that of a host that looks for another to follow.
+	ReadsHosts
+	// ReadsNothing is that of a host for which another one reads the store.
+	ReadsNothing
 )
 
 // follow takes the copy of the zone's reader as long as there is one, and reads
 // the store otherwise.
 func (c *Controller) follow(ctx context.Context) {
+	started := time.Now()
 	waiter.Every(ctx, followEvery, func(now time.Time) {
 		reader, revisions, ok := c.roster.Reader(now)
-		ok = ok && c.isReady.Load()
-		c.setFollowing(reader, ok)
-		if ok {
-			c.catchUp(reader, revisions, now)
+		ok = ok && (c.isReady.Load() || c.IsFirstStart)
+		if !ok && c.isAwaitingReader(now.Sub(started), now) {
+			return
+		}
+		if !ok {
+			c.setReading(ReadsAll, "")
+			return
 		}
+		c.setReading(ReadsNothing, reader.Name)
+		c.catchUp(reader, revisions, now)
 	})
 }
 
-// setFollowing starts and stops the host's own reads.
-func (c *Controller) setFollowing(reader core.Host, isFollowing bool) {
-	if c.SetReading == nil || c.isFollowing.Swap(isFollowing) == isFollowing {
+// isAwaitingReader reports whether a host that started with the whole system leaves
+// the first reads to others: it listens which hosts there are, and waits for the
+// one that should read the store for it.
+func (c *Controller) isAwaitingReader(age time.Duration, now time.Time) bool {
+	if c.reads() != ReadsHosts || age >= maxFirstWait {
+		return false
+	}
+	return age < listenFirst || !c.roster.Leads(now)
+}
+
+// reads returns what the host reads of the store.
+func (c *Controller) reads() Reading {
+	return Reading(c.reading.Load())
+}
+
+// setReading starts and stops the host's own reads. The reader is the host that it
+// follows.
+func (c *Controller) setReading(reading Reading, reader core.HostName) {
+	if c.SetReading == nil || Reading(c.reading.Swap(int32(reading))) == reading {
 		return
 	}
-	c.SetReading(!isFollowing)
-	if isFollowing {
-		c.Log.Event(logger.ReaderFollowed).Str("peer", string(reader.Name)).Send()
+	c.SetReading(reading)
+	if reading == ReadsNothing {
+		c.Log.Event(logger.ReaderFollowed).Str("peer", string(reader)).Send()
 		return
 	}
 	c.contact.forgetReach()
@@ -58,7 +96,7 @@
 		return
 	}
 	address := c.SnapshotAddress(reader)
-	update, err := c.fetcher.Fetch(address, held)
+	update, err := c.fetcher.Fetch(address, held, c.Bounds.fetchTimeout())
 	if err != nil {
 		c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 		return
@@ -75,7 +113,7 @@
 	var last time.Time
 	waiter.Every(ctx, readerProbeEvery, func(now time.Time) {
 		isDue := c.roster.IsReader(now) || now.Sub(last) >= probeEvery
-		if c.isFollowing.Load() || !isDue {
+		if c.reads() != ReadsAll || !isDue {
 			return
 		}
 		last = now
@@ -95,6 +133,6 @@
 // to depend on this host's reads.
 func (c *Controller) readerPart(beat *roster.Heartbeat, now time.Time) {
 	age, isReached := c.contact.storeAge(now)
-	beat.Reads = isReached && !c.isFollowing.Load()
+	beat.Reads = isReached && c.reads() == ReadsAll
 	beat.StoreAge = core.MillisecondsOf(age)
 }
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -44,23 +44,19 @@
 	is := is.New(t)
 	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
 	reader, follower := newController("reader", upstream), newController("follower", upstream)
+	reader.Self.Capacity = 1
 	var isReading atomic.Bool
 	isReading.Store(true)
-	follower.SetReading = isReading.Store
+	follower.SetReading = func(reading Reading) { isReading.Store(reading == ReadsAll) }
 	address := serveSnapshots(t, reader)
 	follower.SnapshotAddress = func(core.Host) string { return address }
 	beat := func() {
-		now := time.Now()
-		for i := range 30 { // a large fleet, all of another zone but the reader
-			h := core.Host{Name: core.HostName("far-" + strconv.Itoa(i)), Zone: core.Zone{Name: "nat-a", Region: "nat"}}
-			follower.roster.Hear(roster.Heartbeat{Host: h, Ready: true}, now)
-		}
 		revisions := reader.replicator.Snapshot().Revisions()
-		follower.roster.Hear(roster.Heartbeat{Host: reader.Self, Ready: true, Reads: true, Revisions: revisions}, now)
+		hearFleet(follower, roster.Heartbeat{Host: reader.Self, Ready: true, Reads: true, Revisions: revisions})
 	}
 	beat()
 	if _, _, ok := follower.roster.Reader(time.Now()); !ok {
-		t.Fatal("the names make the follower the reader of the zone")
+		t.Fatal("the follower has no reader")
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -120,13 +116,57 @@
 func TestHostThatJustReadsAgain(t *testing.T) {
 	is := is.New(t)
 	c := newController("host-1", core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1"})
-	c.SetReading = func(bool) {}
+	c.SetReading = func(Reading) {}
 	now := time.Now()
-	c.setFollowing(core.Host{Name: "reader"}, true)
+	c.setReading(ReadsNothing, "reader")
 	c.contact.confirm(now)
 	is.True(!c.heartbeat().Reads) // it follows
-	c.setFollowing(core.Host{}, false)
+	c.setReading(ReadsAll, "")
 	is.True(!c.heartbeat().Reads) // it has not reached the store yet
 	c.StoreAnswered(now)
 	is.True(c.heartbeat().Reads)
 }
+
+// TestFirstStartAwaitsReader is the pattern of a large system that starts: a host
+// leaves the first reads to the one of its zone that has the greatest capacity,
+// and takes its copy.
+func TestFirstStartAwaitsReader(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	reader := newController("reader", upstream)
+	reader.Self.Capacity = 800
+	follower := newBareController("follower")
+	var readings []Reading
+	follower.SetReading = func(reading Reading) { readings = append(readings, reading) }
+	address := serveSnapshots(t, reader)
+	follower.SnapshotAddress = func(core.Host) string { return address }
+	follower.Init()
+	beat := roster.Heartbeat{Host: reader.Self}
+	hearFleet(follower, beat)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.follow(ctx)
+	}()
+	time.Sleep(listenFirst + 2*followEvery)
+	is.True(!follower.TakesRequests()) // the reader is not ready
+	beat.Ready, beat.Reads, beat.Revisions = true, true, reader.replicator.Snapshot().Revisions()
+	hearFleet(follower, beat)
+	for !follower.TakesRequests() {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-done
+	is.Equal(readings, []Reading{ReadsHosts, ReadsNothing})
+}
+
+// hearFleet lets a host hear a host of its zone among many of another zone.
+func hearFleet(c *Controller, beat roster.Heartbeat) {
+	now := time.Now()
+	for i := range 30 {
+		h := core.Host{Name: core.HostName("far-" + strconv.Itoa(i)), Zone: core.Zone{Name: "nat-a", Region: "nat"}}
+		c.roster.Hear(roster.Heartbeat{Host: h, Ready: true}, now)
+	}
+	c.roster.Hear(beat, now)
+}
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -14,7 +14,7 @@
 func (c *Controller) observe() {
 	gauges := map[string]func() float64{
 		"in_flight":          func() float64 { return float64(c.forwarder.InFlight()) },
-		"reads_store":        func() float64 { return truth(!c.isFollowing.Load()) },
+		"reads_store":        func() float64 { return truth(c.reads() == ReadsAll) },
 		"is_ready":           func() float64 { return truth(c.TakesRequests()) },
 		"policy_version":     func() float64 { return float64(c.replicator.Snapshot().Revisions().Policy) },
 		"upstreams_revision": func() float64 { return float64(c.replicator.Snapshot().Revisions().Upstreams) },
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -155,7 +155,7 @@
 		return
 	}
 	for _, address := range c.sources(now) {
-		update, err := c.fetcher.Fetch(address, c.replicator.Snapshot().Revisions())
+		update, err := c.fetcher.Fetch(address, c.replicator.Snapshot().Revisions(), c.Bounds.fetchTimeout())
 		if err != nil {
 			c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 			continue
--- a/entry/heartbeater/snapshot.go
+++ b/entry/heartbeater/snapshot.go
@@ -55,13 +55,8 @@
 	}
 }
 
-const (
-	// fetchTimeout bounds the fetch of a copy. A host that follows a silent one
-	// must turn to the store in time.
-	fetchTimeout = 500 * time.Millisecond
-	// maxSnapshot bounds a copy.
-	maxSnapshot = 16 * core.Mebibyte
-)
+// maxSnapshot bounds a copy.
+const maxSnapshot = 16 * core.Mebibyte
 
 // Fetcher gets copies of the store from other hosts.
 type Fetcher struct {
@@ -70,14 +65,14 @@
 
 // Fetch returns what the copy of the host at an address has beyond the given
 // revisions. The error is of type core.ErrPeer.
-func (f *Fetcher) Fetch(address string, held core.Revisions) (replicator.Snapshot, error) {
+func (f *Fetcher) Fetch(address string, held core.Revisions, timeout time.Duration) (replicator.Snapshot, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + SnapshotPath + "?" + EncodeHeld(held))
 	f.client.MaxResponseBodySize = int(maxSnapshot)
-	if err := f.client.DoTimeout(request, response, fetchTimeout); err != nil {
+	if err := f.client.DoTimeout(request, response, timeout); err != nil {
 		return replicator.Snapshot{}, core.ErrPeer.Wrap(err, "snapshot from %s", address)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
--- a/entry/storer/storer.go
+++ b/entry/storer/storer.go
@@ -26,6 +26,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/caller"
 )
 
 // basePath is where the API stands.
@@ -187,37 +188,10 @@
 
 func (s *Storer) call(call, method, target string, body []byte) (Object, error) {
 	s.count(call)
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + s.Address + target)
-	if body != nil {
-		request.Header.SetContentType("application/json")
-		request.SetBodyRaw(body)
-	}
-	if err := s.client.DoTimeout(request, response, s.Timeout); err != nil {
-		return Object{}, core.ErrPlatform.Wrap(err, "%s %s", method, target)
-	}
-	return decode(response, method+" "+target)
-}
-
-func decode(response *fasthttp.Response, what string) (Object, error) {
-	switch response.StatusCode() {
-	case fasthttp.StatusOK, fasthttp.StatusCreated:
-	case fasthttp.StatusNotFound:
-		return Object{}, core.ErrNotFound.New("%s", what)
-	case fasthttp.StatusConflict:
-		return Object{}, core.ErrConflict.New("%s", what)
-	default:
-		return Object{}, core.ErrPlatform.New("%s: status %d", what, response.StatusCode())
-	}
 	var object Object
-	if err := json.Unmarshal(response.Body(), &object); err != nil {
-		return Object{}, core.ErrPlatform.Wrap(err, "%s", what)
-	}
-	return object, nil
+	made := caller.StoreCall{Method: method, Address: s.Address, Path: target, Body: body}
+	err := made.Do(&s.client, s.Timeout, &object)
+	return object, err
 }
 
 // Port returns the store as the decisions use it.
