A planned stop waits for no call to others; the route's time ends sooner

The end waited for connections being opened ahead (up to 1 s) and for fetches from silent hosts, with 0.4 s left. It now waits 0.1 s.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -38,6 +38,7 @@
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/meter"
 	"github.com/endiverun/endiverun/entry/tracer"
+	"github.com/endiverun/endiverun/entry/waiter"
 )
 
 const (
@@ -50,6 +51,9 @@
 	bodyPart = 4
 	// stopMargin is kept of the grace period for the end of the process.
 	stopMargin = 400 * time.Millisecond
+	// exitTime is how long the end waits for calls to upstreams, other hosts and the
+	// store, which may take longer than is left.
+	exitTime = 100 * time.Millisecond
 	// lingerTime is how long after a stop began clients may still arrive by
 	// an older list of hosts.
 	lingerTime = 2200 * time.Millisecond
@@ -212,10 +216,11 @@
 	c.limitMemory()
 	c.Log.Event(logger.HostStarted).Str("zone", string(c.Self.Zone.Name)).Send()
 	background, stop := context.WithCancel(context.Background())
-	defer stop()
 	var group conc.WaitGroup
-	defer group.Wait()
-	defer stop()
+	defer func() {
+		stop()
+		waiter.Within(exitTime, group.Wait)
+	}()
 	group.Go(func() { c.beat(background) })
 	group.Go(func() { c.upkeep(background) })
 	group.Go(func() { c.prepare(background) })
@@ -223,7 +228,6 @@
 	group.Go(func() { c.checkNear(background) })
 	group.Go(func() { c.follow(background) })
 	group.Go(func() { c.probe(background) })
-	defer c.prober.wait()
 
 	serving, endServing := context.WithCancel(context.Background())
 	defer endServing()
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -26,7 +26,7 @@
 	maxRetry = time.Second
 	// lateAnswer is how long after the route's time an answer is waited for.
 	// The upstream's own report that the time is over arrives within it.
-	lateAnswer = 150 * time.Millisecond
+	lateAnswer = 100 * time.Millisecond
 )
 
 // exchange is the state of one request while it is served.
--- a/entry/waiter/waiter.go
+++ b/entry/waiter/waiter.go
@@ -4,6 +4,7 @@
 //
 //	waiter.Every(ctx, time.Second, func(now time.Time) { ... })
 //	waiter.Sleep(ctx, 200*time.Millisecond)
+//	isDone := waiter.Within(time.Second, group.Wait)
 package waiter
 
 import (
@@ -34,3 +35,21 @@
 	case <-timer.C:
 	}
 }
+
+// Within waits until wait returns, for the given time at most, and reports whether
+// it did. A wait that takes longer goes on by itself.
+func Within(limit time.Duration, wait func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wait()
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
