A starting system lists its hosts once they have registered; a host that starts anew watches nothing before it looked for a reader

Cause: all hosts of a zone still read the store 0.7 s after the start, since the list of hosts was read before the others had registered.

--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -87,6 +87,14 @@
 	return len(r.members) >= smallFleet && r.reader(now) == nil
 }
 
+// IsLarge reports whether the fleet is so large that one host of a zone reads the
+// store for the others.
+func (r *Roster) IsLarge() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members) >= smallFleet
+}
+
 // Leads reports whether no live host of the own zone, ready or not, should read the
 // store rather than this one.
 func (r *Roster) Leads(now time.Time) bool {
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -205,8 +205,8 @@
 	c.seeds.Store(&c.Seeds)
 	c.grace.Store(int64(c.Bounds.Grace))
 	if c.IsFirstStart && c.SetReading != nil {
-		c.reading.Store(int32(ReadsHosts))
-		c.SetReading(ReadsHosts)
+		c.reading.Store(int32(ReadsNothing))
+		c.SetReading(ReadsNothing)
 	}
 	c.observe()
 }
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -19,10 +19,12 @@
 	// reader looks more often, since others depend on it.
 	probeEvery       = time.Second
 	readerProbeEvery = 500 * time.Millisecond
-	// listenFirst is how long a host of a system that starts listens for others
-	// before it reads the store, and maxFirstWait how long it waits for its reader.
-	listenFirst  = 700 * time.Millisecond
-	maxFirstWait = 1500 * time.Millisecond
+	// registerTime is the time in which the hosts of a system that starts register.
+	// listenFirst is how long each then listens for others before it reads the
+	// store, and maxFirstWait how long it waits for its reader, all from the start.
+	registerTime = 500 * time.Millisecond
+	listenFirst  = 1200 * time.Millisecond
+	maxFirstWait = 2 * time.Second
 )
 
 // Reading says what of the store a host reads itself.
@@ -41,12 +43,14 @@
 // the store otherwise.
 func (c *Controller) follow(ctx context.Context) {
 	started := time.Now()
+	isStarting := c.IsFirstStart && c.SetReading != nil
 	waiter.Every(ctx, followEvery, func(now time.Time) {
 		reader, revisions, ok := c.roster.Reader(now)
 		ok = ok && (c.isReady.Load() || c.IsFirstStart)
-		if !ok && c.isAwaitingReader(now.Sub(started), now) {
+		if !ok && isStarting && c.isAwaitingReader(now.Sub(started), now) {
 			return
 		}
+		isStarting = false
 		if !ok {
 			c.setReading(ReadsAll, "")
 			return
@@ -57,13 +61,24 @@
 }
 
 // isAwaitingReader reports whether a host that started with the whole system leaves
-// the first reads to others: it listens which hosts there are, and waits for the
-// one that should read the store for it.
+// the first reads to others: it learns which hosts there are once they have
+// registered, and waits for the one that should read the store for it.
 func (c *Controller) isAwaitingReader(age time.Duration, now time.Time) bool {
-	if c.reads() != ReadsHosts || age >= maxFirstWait {
-		return false
+	if age < registerTime {
+		return true
 	}
-	return age < listenFirst || !c.roster.Leads(now)
+	c.setReading(ReadsHosts, "")
+	return age < listenFirst || age < maxFirstWait && !c.roster.Leads(now)
+}
+
+// Settle returns how long a host that listed the store waits for the reader of its
+// zone before it watches the store itself.
+func (c *Controller) Settle() time.Duration {
+	const part = 0.25
+	if !c.roster.IsLarge() {
+		return 0
+	}
+	return time.Duration(part * float64(c.Bounds.InForce))
 }
 
 // reads returns what the host reads of the store.
@@ -78,12 +93,14 @@
 		return
 	}
 	c.SetReading(reading)
-	if reading == ReadsNothing {
+	switch reading {
+	case ReadsNothing:
 		c.Log.Event(logger.ReaderFollowed).Str("peer", string(reader)).Send()
-		return
+	case ReadsAll:
+		c.contact.forgetReach()
+		c.Log.Event(logger.StoreRead).Send()
+	case ReadsHosts:
 	}
-	c.contact.forgetReach()
-	c.Log.Event(logger.StoreRead).Send()
 }
 
 // catchUp fetches what the reader's copy has beyond the own one. While it has
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -53,6 +53,9 @@
 	// Gather is the pause after a change, so that changes made together cost
 	// one call.
 	Gather time.Duration
+	// Settle is the pause after a list, in which another host may be found that
+	// watches for this one; nil means Gather.
+	Settle func() time.Duration
 	// OnChange gets all objects of the kind after each change, with the
 	// revision of the store that they reflect. The map belongs to the watcher.
 	OnChange func(objects map[string]T, revision uint64)
@@ -81,17 +84,26 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.take(ctx, w.step(), isAsking)
+		pause := w.pause()
+		w.take(ctx, w.step(), pause, isAsking)
 	}
 }
 
+// pause returns the pause after the next call, if that is answered.
+func (w *Watcher[T]) pause() time.Duration {
+	if w.objects == nil && w.Settle != nil {
+		return max(w.Gather, w.Settle())
+	}
+	return w.Gather
+}
+
 // take takes the result of a call.
-func (w *Watcher[T]) take(ctx context.Context, err error, isAsking bool) {
+func (w *Watcher[T]) take(ctx context.Context, err error, pause time.Duration, isAsking bool) {
 	switch {
 	case err == nil:
 		w.Gate.answered()
 		w.OnAnswer()
-		waiter.Sleep(ctx, w.Gather)
+		waiter.Sleep(ctx, pause)
 	case errorx.IsOfType(err, core.ErrHistoryGone):
 		w.Gate.answered()
 		w.objects = nil
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -175,3 +175,34 @@
 	w.Run(ctx)
 	is.Equal(bases, []uint64{2, 9})
 }
+
+// TestListSettles is the pattern of a host of a large fleet that starts anew: it
+// lists the store, and while it looks for a host to follow it makes no call that
+// waits.
+func TestListSettles(t *testing.T) {
+	const settle = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		gate := &Gate{}
+		var listed, watched time.Time
+		w := &Watcher[int]{
+			Gate:   gate,
+			Settle: func() time.Duration { return settle },
+			List: func() (List[int], error) {
+				listed = time.Now()
+				return List[int]{Objects: map[string]int{}, Revision: 1}, nil
+			},
+			Watch: func(after uint64, _ time.Duration) (Changes[int], error) {
+				watched = time.Now()
+				stop()
+				return Changes[int]{Revision: after}, nil
+			},
+			OnChange:  func(map[string]int, uint64) {},
+			OnAnswer:  func() {},
+			OnFailure: func(error) {},
+		}
+		w.Run(ctx)
+		is.Equal(watched.Sub(listed), settle)
+	})
+}
