--- a/core/placer/cold.go
+++ b/core/placer/cold.go
@@ -17,6 +17,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isSmall := len(p.upstreams) <= fewUpstreams
+	if !isSmall && now.Sub(p.wanted) >= wantedFor {
+		return nil
+	}
 	var list []core.Upstream
 	for _, s := range p.services {
 		for _, u := range s.members {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -55,6 +55,8 @@
 	// again in the same life still knows its objects.
 	retired   map[core.UpstreamName]*upstream
 	evacuated map[core.ZoneName]bool
+	// wanted is when a request was last kept from any upstream for being cold.
+	wanted time.Time
 	trips     map[core.RegionName]time.Duration
 	// moves bounds the requests that leave their planned region, migrations
 	// those whose object gets another upstream.
@@ -140,7 +142,7 @@
 		c := found.list[i]
 		u := c.upstream
 		if u.isCold(s.policy.WarmUp, now) && !p.Pacer.Take(u.Name, s.policy.WarmUpRate, u.recent(now), now) {
-			u.wanted = now
+			u.wanted, p.wanted = now, now
 			found.list = append(found.list[:i], found.list[i+1:]...)
 			continue
 		}
