--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -57,7 +57,7 @@
 	evacuated map[core.ZoneName]bool
 	// wanted is when a request was last kept from any upstream for being cold.
 	wanted time.Time
-	trips     map[core.RegionName]time.Duration
+	trips  map[core.RegionName]time.Duration
 	// moves bounds the requests that leave their planned region, migrations
 	// those whose object gets another upstream.
 	moves      quota
