Long answers are passed on as a stream once their first part is proved

What breaks off in the first part can run again; what breaks off later ends the client's connection before the stated length. Answers in chunks or without a length are still held whole, so that their end can be proved, and request bodies are, so that they can be sent again.

--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -14,43 +14,57 @@
 	"github.com/endiverun/endiverun/core/placer"
 )
 
-// receive reads the answer to the attempt. Answers to other requests are
-// passed over.
-func (e *Exchanger) receive(conn *connection, attempt Attempt) (*fasthttp.Response, error) {
+// receive reads the answer to the attempt. Answers to other requests are passed
+// over. Of a long answer the first part is read, and the stream is the whole body.
+func (e *Exchanger) receive(conn *connection, attempt Attempt) (*fasthttp.Response, *Stream, error) {
+	response := fasthttp.AcquireResponse()
+	response.Header.SetNoDefaultContentType(true)
 	for range maxStrayAnswers + 1 {
-		response, err := e.read(conn.reader, attempt)
+		stream, err := e.read(conn, response, attempt)
 		if err != nil {
-			return nil, err
+			fasthttp.ReleaseResponse(response)
+			return nil, nil, err
 		}
-		id := response.Header.Peek(e.Fields.RequestID)
-		if attempt.RequestID == "" || string(id) == attempt.RequestID {
-			return response, nil
+		if e.isOwn(response, attempt) {
+			return response, stream, nil
 		}
-		isLast := response.ConnectionClose()
-		fasthttp.ReleaseResponse(response)
-		if isLast {
+		if response.ConnectionClose() {
 			break
 		}
 	}
-	return nil, errStray
+	fasthttp.ReleaseResponse(response)
+	return nil, nil, errStray
 }
 
 // errStray reports answers that belong to other requests.
 var errStray = errors.New("the answer belongs to another request")
 
-// read reads one whole answer.
-func (e *Exchanger) read(r *bufio.Reader, attempt Attempt) (*fasthttp.Response, error) {
-	response := fasthttp.AcquireResponse()
-	response.Header.SetNoDefaultContentType(true)
-	err := readWhole(response, r, attempt.Head.IsHead(), int(e.MaxAnswer))
-	if err != nil {
-		fasthttp.ReleaseResponse(response)
+// isOwn reports whether an answer belongs to the attempt.
+func (e *Exchanger) isOwn(response *fasthttp.Response, attempt Attempt) bool {
+	return attempt.RequestID == "" || string(response.Header.Peek(e.Fields.RequestID)) == attempt.RequestID
+}
+
+// read reads one answer, whole unless it is long and belongs to the attempt.
+func (e *Exchanger) read(conn *connection, response *fasthttp.Response, attempt Attempt) (*Stream, error) {
+	if err := readHead(response, conn.reader); err != nil {
 		return nil, err
 	}
-	return response, nil
+	isHead := attempt.Head.IsHead()
+	if isLong(response, isHead, int(e.MaxAnswer)) && e.isOwn(response, attempt) {
+		return e.newStream(conn, attempt, response.Header.ContentLength())
+	}
+	return nil, readBody(response, conn.reader, isHead, int(e.MaxAnswer))
+}
+
+func readWhole(response *fasthttp.Response, r *bufio.Reader, limit int) error {
+	if err := readHead(response, r); err != nil {
+		return err
+	}
+	return readBody(response, r, false, limit)
 }
 
-func readWhole(response *fasthttp.Response, r *bufio.Reader, isHead bool, limit int) error {
+// readHead reads the header of the next answer that is not informational.
+func readHead(response *fasthttp.Response, r *bufio.Reader) error {
 	for {
 		if err := response.Header.Read(r); err != nil {
 			if errors.Is(err, io.EOF) {
@@ -59,17 +73,19 @@
 			return err
 		}
 		if response.StatusCode() >= fasthttp.StatusOK {
-			break
+			return nil
 		}
 	}
-	switch response.StatusCode() {
-	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
-		return nil
-	}
+}
+
+func readBody(response *fasthttp.Response, r *bufio.Reader, isHead bool, limit int) error {
 	if isHead {
 		response.SkipBody = true
 		return nil
 	}
+	if !hasBody(response) {
+		return nil
+	}
 	return response.ReadBody(r, limit)
 }
 
--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -53,5 +53,5 @@
 	if sent := writeRequest(conn, request, nil); sent.err != nil {
 		return sent.err
 	}
-	return readWhole(response, conn.reader, false, int(e.MaxAnswer))
+	return readWhole(response, conn.reader, int(e.MaxAnswer))
 }
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -73,6 +73,8 @@
 	Deadline time.Time
 	// Until is when the wait for the answer ends.
 	Until time.Time
+	// BodyUntil is when a long answer must have ended; zero means Until.
+	BodyUntil time.Time
 	// Trip is the usual round trip to the upstream.
 	Trip time.Duration
 	// Trace is the traceparent for the upstream; empty leaves the client's.
@@ -86,6 +88,9 @@
 	Report placer.Report
 	// Response is set when State is Answered.
 	Response *fasthttp.Response
+	// Stream is the body of a long answer, which Response then lacks. Whoever takes
+	// it over closes it.
+	Stream *Stream
 	// Fault names what was wrong, for logs.
 	Fault string
 	// IsLate says that the time was over before the answer.
@@ -94,8 +99,12 @@
 	HasArrived bool
 }
 
-// Close gives the response's memory back.
+// Close gives the response's memory back, and closes a stream that nobody took.
 func (r *Result) Close() {
+	if r.Stream != nil {
+		_ = r.Stream.Close() // it has no error
+		r.Stream = nil
+	}
 	if r.Response != nil {
 		fasthttp.ReleaseResponse(r.Response)
 		r.Response = nil
@@ -134,8 +143,6 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	conn.acquireReader()
 	result, reusable := e.exchange(conn, attempt)
-	// Surplus bytes belong to no request, so the connection is not kept.
-	isClean := conn.releaseReader() == 0
 	isCanceled := !stop()
 	result.HasArrived = result.HasArrived || result.State != core.NotRun
 	result.Report.Run = time.Since(start) - dialed
@@ -145,17 +152,39 @@
 		result.Report.Outcome = placer.Abandoned
 		result.Fault = "canceled"
 	}
-	if reusable && isClean && !isCanceled {
-		e.pool.put(peerOf(attempt.Upstream), conn, time.Now())
+	if result.Stream != nil {
+		result.Stream.reusable = reusable
+		if isCanceled {
+			result.endStream()
+		}
 		return result
 	}
+	e.finish(conn, attempt, &result, reusable && !isCanceled)
+	return result
+}
+
+// endStream makes the result that of an attempt that was canceled before any of
+// its answer was passed on.
+func (r *Result) endStream() {
+	r.Close()
+	r.State = core.RunUnknown
+	r.Report.Outcome = placer.Abandoned
+}
+
+// finish keeps the connection of an attempt or closes it.
+func (e *Exchanger) finish(conn *connection, attempt Attempt, result *Result, reusable bool) {
+	// Surplus bytes belong to no request, so the connection is not kept.
+	isClean := conn.releaseReader() == 0
+	if reusable && isClean {
+		e.pool.put(peerOf(attempt.Upstream), conn, time.Now())
+		return
+	}
 	e.pool.discard(peerOf(attempt.Upstream), conn)
 	isLost := result.Report.Outcome == placer.Broken || result.Report.Outcome == placer.Unreachable
 	if isLost && conn.isReused {
 		// Others of the same age have probably gone silent with it.
 		e.pool.closeIdle(peerOf(attempt.Upstream))
 	}
-	return result
 }
 
 func (e *Exchanger) connect(ctx context.Context, attempt Attempt, now time.Time) (*connection, *Result) {
@@ -237,7 +266,7 @@
 	head := e.head(attempt)
 	defer fasthttp.ReleaseRequest(head)
 	sending := send(conn, head, attempt.Body)
-	response, err := e.receive(conn, attempt)
+	response, stream, err := e.receive(conn, attempt)
 	if err != nil {
 		_ = conn.Close()
 		sent := sending.wait()
@@ -247,6 +276,7 @@
 		return unknown(err, attempt), false
 	}
 	result := e.judge(response)
+	result.Stream = stream
 	reusable := !response.ConnectionClose() && conn.setIdleLimit(response)
 	if reusable {
 		e.idleLimits.put(attempt.Upstream.Service, conn.idle)
@@ -254,6 +284,10 @@
 	if result.Response == nil {
 		fasthttp.ReleaseResponse(response)
 	}
+	if stream != nil {
+		stream.begin()
+		return result, reusable && sending.isDone() && sending.wait().err == nil
+	}
 	if !sending.isDone() {
 		// The rest of the body must not reach the upstream as a new request.
 		_ = conn.Close()
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -35,7 +35,9 @@
 // upstream is a stand-in that counts requests and answers each with a text, in
 // which ID stands for the request's id. No text means silence.
 type upstream struct {
-	answer   string
+	answer string
+	// isCut says that the connection ends after the answer.
+	isCut    bool
 	delay    time.Duration
 	requests atomic.Int32
 	// left counts connections that ended before their answer was due.
@@ -77,7 +79,7 @@
 		}
 		answer := strings.ReplaceAll(u.answer, "ID", string(request.Header.Peek("Request-Id")))
 		_, _ = io.WriteString(conn, answer)
-		if u.answer == cutAnswer {
+		if u.isCut || u.answer == cutAnswer {
 			return
 		}
 	}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -40,7 +40,8 @@
 	key       string
 
 	start time.Time
-	// deadline is when the client or the route stops waiting.
+	// client is when the client stops waiting, deadline when it or the route does.
+	client   time.Time
 	deadline time.Time
 	// until is when the final answer must be on its way.
 	until time.Time
@@ -79,7 +80,7 @@
 	x := &exchange{forwarder: f, request: ctx, route: route, service: f.splitter.next(route), body: body, start: now}
 	x.hold = f.holdLimit(ctx, now)
 	client := f.deadline(ctx, now)
-	x.deadline, x.until = client, client.Add(-answerMargin)
+	x.client, x.deadline, x.until = client, client, client.Add(-answerMargin)
 	if route.Timeout > 0 {
 		limit := now.Add(route.Timeout)
 		x.deadline = earlier(client, limit)
@@ -178,6 +179,7 @@
 		RequestID: x.event.RequestID,
 		Deadline:  x.deadline.Add(-choice.Trip / 2),
 		Until:     x.until,
+		BodyUntil: x.client,
 		Trip:      choice.Trip,
 		Trace:     span.Parent(),
 	})
@@ -254,7 +256,7 @@
 	closes := x.forwarder.isLeaving.Load()
 	response.Header.CopyTo(&x.request.Response.Header)
 	x.request.Response.SkipBody = response.SkipBody
-	x.request.Response.SwapBody(response.SwapBody(nil))
+	x.passBody(result)
 	if closes {
 		x.request.SetConnectionClose()
 	}
@@ -264,6 +266,22 @@
 	notify(x.forwarder.OnEnd, x.event)
 }
 
+// passBody passes an answer's body on: whole, or as a stream that the server reads
+// once the header is written. A stream that ends early ends the client's connection
+// before the length that the header states.
+func (x *exchange) passBody(result *exchanger.Result) {
+	stream := result.Stream
+	if stream == nil {
+		x.request.Response.SwapBody(result.Response.SwapBody(nil))
+		return
+	}
+	result.Stream = nil // the server closes it
+	event := x.event
+	event.Cause, event.Status = "answer-cut", result.Response.StatusCode()
+	stream.OnCut = func() { notify(x.forwarder.OnRefusal, event) }
+	x.request.Response.SetBodyStream(stream, stream.Size())
+}
+
 // answerHopFields concern only the connection to the upstream.
 var answerHopFields = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection"}
 
