--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -38,9 +38,9 @@
 // expired.
 const lapsedPart = 0.2
 
-// outageAfter is the time without an answer after which registrations may have
-// expired; shorter gaps are ordinary.
-const outageAfter = 1500 * time.Millisecond
+// defaultHeartbeat is the time between two signs of life of an upstream where none
+// is stated.
+const defaultHeartbeat = 1500 * time.Millisecond
 
 // Policy is a routing policy in the form that hosts pass on.
 type Policy struct {
@@ -117,6 +117,10 @@
 	// OnChange is told of each new state, with the parts that changed set in
 	// the second argument.
 	OnChange func(now time.Time, current, changed Snapshot)
+	// Heartbeat is the time between two signs of life of an upstream; 0 means the
+	// default. Without an answer of the store for that long, registrations may have
+	// expired; shorter gaps are ordinary.
+	Heartbeat time.Duration
 
 	mu         sync.Mutex
 	current    Snapshot
@@ -138,12 +142,19 @@
 func (r *Replicator) Answered(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lastAnswer.IsZero() && now.Sub(r.lastAnswer) > outageAfter {
+	if !r.lastAnswer.IsZero() && now.Sub(r.lastAnswer) > r.heartbeat() {
 		r.graceUntil = now.Add(lapseGrace)
 	}
 	r.lastAnswer = now
 }
 
+func (r *Replicator) heartbeat() time.Duration {
+	if r.Heartbeat <= 0 {
+		return defaultHeartbeat
+	}
+	return r.Heartbeat
+}
+
 // Failed states that a call to the store failed although it was made in time,
 // so the store is away for this host.
 func (r *Replicator) Failed(now time.Time) {
--- a/core/replicator/replicator_test.go
+++ b/core/replicator/replicator_test.go
@@ -120,3 +120,27 @@
 	is.True(r.Snapshot().IsComplete())
 	is.Equal(r.Snapshot().Revisions().Upstreams, uint64(51))
 }
+
+// TestOutageFollowsTheHeartbeat is the pattern of upstreams whose registrations
+// expire sooner or later than usual: a gap in the store's answers that is longer
+// than their heartbeat may have let some expire.
+func TestOutageFollowsTheHeartbeat(t *testing.T) {
+	for _, heartbeat := range []time.Duration{400 * time.Millisecond, 3 * time.Second} {
+		for _, isOutage := range []bool{false, true} {
+			t.Run(fmt.Sprint(heartbeat, isOutage), func(t *testing.T) {
+				gap := heartbeat - 100*time.Millisecond
+				if isOutage {
+					gap = heartbeat + 100*time.Millisecond
+				}
+				r := &replicator.Replicator{Heartbeat: heartbeat}
+				r.Answered(start)
+				list := []core.Upstream{{Name: "a"}, {Name: "b"}}
+				r.Take(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 1, List: list}}, start)
+				back := start.Add(gap)
+				r.Answered(back)
+				r.Take(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 2, List: list[:1]}}, back)
+				is.New(t).Equal(len(r.Snapshot().Upstreams.List) == 2, isOutage)
+			})
+		}
+	}
+}
--- a/core/roster/reader_test.go
+++ b/core/roster/reader_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// TestTrustFollowsTheBound checks that a host depends on a reader for a part of the
+// time in which changes must be in force.
+func TestTrustFollowsTheBound(t *testing.T) {
+	is := is.New(t)
+	const hosts, zones = 60, 3
+	for _, inForce := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		fleet := zonedFleet(hosts, 0, start)
+		for _, r := range fleet {
+			r.SetInForce(inForce)
+		}
+		is.Equal(countReaders(fleet, start.Add(inForce/2)), zones)
+		is.Equal(countReaders(fleet, start.Add(inForce*3/4)), hosts)
+	}
+}
+
 // TestReaderOfGreatCapacity is the pattern of hosts of unequal size: the zone's
 // reader is the one of the greatest capacity, and while that does not read yet,
 // the hosts that depended on another one still do.
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -80,6 +80,9 @@
 	// MaxShift is the part of a region's requests that may change their region
 	// between two windows of two seconds; 0 means the default.
 	MaxShift float64
+	// Heartbeat is the time between two signs of life of an upstream, after some of
+	// which its registration expires; 0 means a default.
+	Heartbeat time.Duration
 	// InForce is the shortest time in which a change of the store must be in force.
 	InForce time.Duration
 	// Silence is how long after its end a host may be named to clients; 0 means
@@ -171,7 +174,7 @@
 		c.Meter = meter.New()
 	}
 	dial := caller.NewDialer(unackedLimit)
-	c.replicator = &replicator.Replicator{OnChange: c.apply}
+	c.replicator = &replicator.Replicator{OnChange: c.apply, Heartbeat: c.Bounds.Heartbeat}
 	c.pacer = &pacer.Pacer{Self: c.Self.Name, Overage: c.Bounds.WarmUpOverage, Slack: c.Bounds.WarmUpSlack}
 	c.placer = &placer.Placer{Zone: c.Self.Zone, Regions: c.Regions, Pacer: c.pacer, AssumeCold: !c.IsFirstStart, MaxShift: c.Bounds.MaxShift}
 	c.retrier = &retrier.Retrier{
