Answers without end take a bounded part of a host's memory

Cause, by a test: the body of an answer without a length was held up to 64 MiB, so three upstreams that send without end filled a host of 184 MB. One answer that is held whole may now take a sixteenth of the memory and all of them a sixth; what goes beyond ends its connection. Long answers that state their length are passed on whatever their length.

Tests: nine kinds of endless heads and bodies, and eight endless bodies together beside a sound answer.

--- a/core/host.go
+++ b/core/host.go
@@ -35,8 +35,8 @@
 	ClientAddress string `json:"client-address" cbor:"4,keyasint"`
 	// PeerAddress is the IP address and UDP port for other hosts.
 	PeerAddress string `json:"peer-address" cbor:"5,keyasint"`
-	// Capacity is what the host can do beside its requests, to compare hosts; 0
-	// where it is not known.
+	// Capacity says how much the host can do, to compare hosts; 0 where it is not
+	// known.
 	Capacity Capacity `json:"capacity,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -45,10 +45,12 @@
 	// unackedLimit is when a connection with unacknowledged data fails. A lost
 	// packet is sent again well within it, also between regions.
 	unackedLimit = 700 * time.Millisecond
-	// maxAnswer bounds an answer's body, which is held whole.
-	maxAnswer = 64 * core.Mebibyte
-	// bodyPart is the part of the memory that request bodies may take.
-	bodyPart = 4
+	// bodyPart is the part of the memory that request bodies may take, answerPart
+	// that of one answer that is held whole, and heldPart that of all of them. A
+	// buffer that grows takes up to three times its content.
+	bodyPart   = 4
+	answerPart = 16
+	heldPart   = 6
 	// stopMargin is kept of the grace period for the end of the process.
 	stopMargin = 400 * time.Millisecond
 	// exitTime is how long the end waits for calls to upstreams, other hosts and the
@@ -159,6 +161,7 @@
 	hosts     atomic.Int64
 	isLeaving atomic.Bool
 	isReady   atomic.Bool
+	// reading is a Reading, what the host reads of the store.
 	reading   atomic.Int32
 	contact   contact
 	cold      coldList
@@ -188,7 +191,8 @@
 	c.exchanger = &exchanger.Exchanger{
 		Fields:         c.UpstreamFields,
 		Dial:           dial,
-		MaxAnswer:      maxAnswer,
+		MaxAnswer:      c.Memory / answerPart,
+		MaxHeld:        c.Memory / heldPart,
 		MaxConnections: c.maxConnections,
 	}
 	c.forwarder = &forwarder.Forwarder{
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	isHead := attempt.Head.IsHead()
-	if isLong(response, isHead, int(e.MaxAnswer)) && e.isOwn(response, attempt) {
+	if isLong(response, isHead) && e.isOwn(response, attempt) {
 		return e.newStream(conn, attempt, response.Header.ContentLength())
 	}
 	return nil, readBody(response, conn.reader, isHead, int(e.MaxAnswer))
--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -21,7 +21,7 @@
 		}
 		conn = opened
 	}
-	conn.acquireReader()
+	conn.acquireReader(&e.held, e.MaxHeld)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	err := e.ask(conn, upstream, path, response, now.Add(timeout))
--- /dev/null
+++ b/entry/exchanger/endless_test.go
@@ -0,0 +1,91 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// endless sends a text and then repeats another one until the host closes the
+// connection, and counts the bytes.
+func endless(head, repeated string, sent *atomic.Int64) func(net.Conn, *bufio.Reader) {
+	block := strings.Repeat(repeated, 1+4096/len(repeated))
+	return func(conn net.Conn, r *bufio.Reader) {
+		if readRequest(r) == nil {
+			return
+		}
+		_, err := io.WriteString(conn, head)
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+			sent.Add(int64(len(block)))
+		}
+	}
+}
+
+// TestEndlessAnswer is the pattern of an upstream in trouble that sends bytes
+// without end: the host holds a bounded part of them and closes the connection.
+func TestEndlessAnswer(t *testing.T) {
+	// The sockets' buffers take some megabytes beside what the host holds.
+	const buffered = 16 * core.Mebibyte
+	tests := []struct {
+		name, head, repeated string
+	}{
+		{"head of one field", "HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"head of fields", "HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"no answer at all", "", "\x00\xff"},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body without a length", okHead + "\r\n", "x"},
+		{"body in chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		{"one chunk", okHead + "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "x"},
+		{"answers to others", "", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			upstream := serve(t, endless(tt.head, tt.repeated, &sent))
+			e := newExchanger()
+			e.MaxHeld = 2 * core.Mebibyte
+			result := e.Do(t.Context(), attempt(upstream, ""))
+			is.Equal(result.State, core.RunUnknown)
+			is.True(!result.IsLate)
+			is.True(sent.Load() < int64(buffered))
+			result.Close()
+		})
+	}
+}
+
+// TestEndlessAnswersTogether checks that many endless bodies together are held
+// within the bound for all, and that nothing of it stays taken.
+func TestEndlessAnswersTogether(t *testing.T) {
+	is := is.New(t)
+	const upstreams = 8
+	var sent atomic.Int64
+	e := newExchanger()
+	e.MaxAnswer, e.MaxHeld = core.Mebibyte, 2*core.Mebibyte
+	var group conc.WaitGroup
+	for range upstreams {
+		upstream := serve(t, endless(okHead+"\r\n", "x", &sent))
+		group.Go(func() {
+			result := e.Do(t.Context(), attempt(upstream, ""))
+			if result.State != core.RunUnknown {
+				t.Errorf("state %v", result.State)
+			}
+			result.Close()
+		})
+	}
+	group.Wait()
+	sound := serve(t, reply(okHead+"Content-Length: 2\r\n\r\nok"))
+	result := e.Do(t.Context(), attempt(sound, ""))
+	defer result.Close()
+	is.Equal(result.State, core.Answered)
+}
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -116,13 +116,16 @@
 	Fields Fields
 	// Dial opens connections.
 	Dial caller.Dialer
-	// MaxAnswer bounds an answer's body.
+	// MaxAnswer bounds the body of an answer that is held whole, and MaxHeld the
+	// bytes of all of them; 0 means no bound for all.
 	MaxAnswer core.Bytes
+	MaxHeld   core.Bytes
 	// MaxConnections returns the most connections to one upstream; nil means
 	// no bound.
 	MaxConnections func(service core.ServiceName) int
 
 	pool pool
+	held budget
 	// idleLimits are the times for which the upstreams of a service keep idle
 	// connections, as their answers stated last.
 	idleLimits table[core.ServiceName, time.Duration]
@@ -141,7 +144,7 @@
 		dialed = conn.dialed
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	conn.acquireReader()
+	conn.acquireReader(&e.held, e.MaxHeld)
 	result, reusable := e.exchange(conn, attempt)
 	isCanceled := !stop()
 	result.HasArrived = result.HasArrived || result.State != core.NotRun
--- a/entry/exchanger/pool.go
+++ b/entry/exchanger/pool.go
@@ -31,8 +31,9 @@
 // connection is an open connection to an upstream.
 type connection struct {
 	net.Conn
-	// reader is nil while the connection is idle.
+	// reader is nil while the connection is idle, and so is what it reads from.
 	reader   *bufio.Reader
+	metered  *meteredReader
 	dialed   time.Duration
 	idle     time.Duration
 	expires  time.Time
@@ -46,13 +47,15 @@
 	return &connection{Conn: conn, idle: maxIdleTime}
 }
 
-// acquireReader prepares the connection for an exchange.
-func (c *connection) acquireReader() {
+// acquireReader prepares the connection for an exchange, whose answer counts in a
+// budget.
+func (c *connection) acquireReader(held *budget, limit core.Bytes) {
 	reader, ok := readers.Get().(*bufio.Reader)
 	if !ok {
 		reader = bufio.NewReaderSize(nil, readBuffer)
 	}
-	reader.Reset(c.Conn)
+	c.metered = &meteredReader{Conn: c.Conn, budget: held, limit: limit}
+	reader.Reset(c.metered)
 	c.reader = reader
 }
 
@@ -61,7 +64,8 @@
 	left := c.reader.Buffered()
 	c.reader.Reset(nil)
 	readers.Put(c.reader)
-	c.reader = nil
+	c.metered.free()
+	c.reader, c.metered = nil, nil
 	return left
 }
 
--- a/entry/exchanger/stream.go
+++ b/entry/exchanger/stream.go
@@ -40,8 +40,10 @@
 	return s, nil
 }
 
-// begin allows the rest of the body the time that it has.
+// begin allows the rest of the body the time that it has. It is passed on and not
+// held.
 func (s *Stream) begin() {
+	s.conn.metered.free()
 	if !s.attempt.BodyUntil.IsZero() {
 		// A connection that cannot be bounded any more fails at the next read.
 		_ = s.conn.SetDeadline(s.attempt.BodyUntil)
@@ -91,9 +93,8 @@
 
 // isLong reports whether the body of an answer is passed on before it is whole:
 // it states its length, so that a part of it cannot be taken for all.
-func isLong(response *fasthttp.Response, isHead bool, limit int) bool {
-	length := response.Header.ContentLength()
-	return !isHead && length > firstPart && length <= limit && hasBody(response)
+func isLong(response *fasthttp.Response, isHead bool) bool {
+	return !isHead && response.Header.ContentLength() > firstPart && hasBody(response)
 }
 
 func hasBody(response *fasthttp.Response) bool {
