--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -162,11 +162,11 @@
 	isLeaving atomic.Bool
 	isReady   atomic.Bool
 	// reading is a Reading, what the host reads of the store.
-	reading   atomic.Int32
-	contact   contact
-	cold      coldList
-	prober    prober
-	urgent    chan struct{}
+	reading atomic.Int32
+	contact contact
+	cold    coldList
+	prober  prober
+	urgent  chan struct{}
 	// near asks for a heartbeat to the hosts of the own zone.
 	near chan struct{}
 }
