News travel to a bounded number of hosts a second

Urgent heartbeats now go to 100 hosts at most, those of the own region in a larger fleet, and one that went to n hosts keeps the next one waiting for n times 5 ms, so that a host sends 200 a second beside its regular ones whatever the fleet's size.

Test: TestNewsInQuickSuccession fails before for every size.

--- a/core/roster/turn.go
+++ b/core/roster/turn.go
@@ -24,6 +24,22 @@
 	return due
 }
 
+// maxUrgent is how many hosts are told of news at once; more hear of it in turn.
+const maxUrgent = 100
+
+// Urgent returns the hosts that are told of news at once: all in a fleet of a middle
+// size, and in a larger one those of the own region, the own zone first.
+func (r *Roster) Urgent(now time.Time) []core.Host {
+	peers := r.Peers(now)
+	if len(peers) <= maxUrgent {
+		return peers
+	}
+	isOwn := func(h core.Host) bool { return h.Zone.Name == r.Self.Zone.Name }
+	isNear := func(h core.Host) bool { return h.Zone.Region == r.Self.Zone.Region && !isOwn(h) }
+	near := append(filter(peers, isOwn), filter(peers, isNear)...)
+	return near[:min(len(near), maxUrgent)]
+}
+
 // IsFirst returns a function that reports whether this host is the one of its
 // region's live hosts that should watch an upstream of the region. Hosts that
 // know different hosts may both be first, or none.
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -31,6 +31,9 @@
 	period = 500 * time.Millisecond
 	// maxDatagram bounds a heartbeat.
 	maxDatagram = 1400
+	// urgentGap is the time in which each datagram of an urgent heartbeat keeps the
+	// next one waiting, so that news in quick succession travel together.
+	urgentGap = 5 * time.Millisecond
 )
 
 // Heartbeater sends and receives heartbeats.
@@ -42,7 +45,7 @@
 	Self func() roster.Heartbeat
 	// OnHear is told of each heartbeat; nil ignores it.
 	OnHear func(beat roster.Heartbeat)
-	// Urgent asks for a heartbeat to all hosts at once.
+	// Urgent asks for a heartbeat to the hosts that Roster.Urgent names, soon.
 	Urgent <-chan struct{}
 	// Near asks for a heartbeat to the hosts of the own zone at once.
 	Near <-chan struct{}
@@ -83,6 +86,8 @@
 func (h *Heartbeater) send(ctx context.Context, socket net.PacketConn) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
+	urgent := h.Urgent
+	var resume <-chan time.Time
 	h.turn++
 	h.tell(socket, h.Roster.Turn(h.turn, time.Now()))
 	for {
@@ -92,8 +97,12 @@
 		case <-ticker.C:
 			h.turn++
 			h.tell(socket, h.Roster.Turn(h.turn, time.Now()))
-		case <-h.Urgent:
-			h.tell(socket, h.Roster.Peers(time.Now()))
+		case <-urgent:
+			peers := h.Roster.Urgent(time.Now())
+			h.tell(socket, peers)
+			urgent, resume = nil, time.After(time.Duration(len(peers))*urgentGap)
+		case <-resume:
+			urgent, resume = h.Urgent, nil
 		case <-h.Near:
 			h.tell(socket, h.Roster.ZonePeers(time.Now()))
 		}
