--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -13,7 +13,7 @@
 // another one, or does not answer in time.
 func (e *Exchanger) Check(upstream core.Upstream, path string, timeout time.Duration) (time.Duration, error) {
 	now := time.Now()
-	conn, _ := e.pool.take(peerOf(upstream), now)
+	conn, _ := e.pool.take(endpointOf(upstream), now)
 	if conn == nil {
 		opened, err := e.open(upstream, timeout, now)
 		if err != nil {
@@ -27,9 +27,9 @@
 	err := e.ask(conn, upstream, path, response, now.Add(timeout))
 	isClean := conn.releaseReader() == 0
 	if err == nil && isClean && !response.ConnectionClose() && conn.setIdleLimit(response) {
-		e.pool.put(peerOf(upstream), conn, time.Now())
+		e.pool.put(endpointOf(upstream), conn, time.Now())
 	} else {
-		e.pool.discard(peerOf(upstream), conn)
+		e.pool.discard(endpointOf(upstream), conn)
 	}
 	if err != nil {
 		return 0, core.ErrPeer.Wrap(err, "health check of %s", upstream.Name)
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -179,19 +179,19 @@
 	// Surplus bytes belong to no request, so the connection is not kept.
 	isClean := conn.releaseReader() == 0
 	if reusable && isClean {
-		e.pool.put(peerOf(attempt.Upstream), conn, time.Now())
+		e.pool.put(endpointOf(attempt.Upstream), conn, time.Now())
 		return
 	}
-	e.pool.discard(peerOf(attempt.Upstream), conn)
+	e.pool.discard(endpointOf(attempt.Upstream), conn)
 	isLost := result.Report.Outcome == placer.Broken || result.Report.Outcome == placer.Unreachable
 	if isLost && conn.isReused {
 		// Others of the same age have probably gone silent with it.
-		e.pool.closeIdle(peerOf(attempt.Upstream))
+		e.pool.closeIdle(endpointOf(attempt.Upstream))
 	}
 }
 
 func (e *Exchanger) connect(ctx context.Context, attempt Attempt, now time.Time) (*connection, *Result) {
-	conn, wasClosed := e.pool.take(peerOf(attempt.Upstream), now)
+	conn, wasClosed := e.pool.take(endpointOf(attempt.Upstream), now)
 	if conn != nil {
 		return conn, nil
 	}
@@ -225,12 +225,12 @@
 	if e.MaxConnections != nil {
 		limit = e.MaxConnections(upstream.Service)
 	}
-	if !e.pool.reserve(peerOf(upstream), limit) {
+	if !e.pool.reserve(endpointOf(upstream), limit) {
 		return nil, errFull
 	}
 	raw, err := e.Dial("tcp", upstream.Address, timeout)
 	if err != nil {
-		e.pool.release(peerOf(upstream))
+		e.pool.release(endpointOf(upstream))
 		return nil, err
 	}
 	conn := newConnection(raw)
@@ -244,7 +244,7 @@
 // Prepare opens a connection to an upstream that has no idle one, so that the
 // next request need not wait for it.
 func (e *Exchanger) Prepare(upstream core.Upstream, timeout time.Duration) error {
-	if e.pool.idleCount(peerOf(upstream)) > 0 {
+	if e.pool.idleCount(endpointOf(upstream)) > 0 {
 		return nil
 	}
 	now := time.Now()
@@ -252,7 +252,7 @@
 	if err != nil {
 		return err
 	}
-	e.pool.put(peerOf(upstream), conn, time.Now())
+	e.pool.put(endpointOf(upstream), conn, time.Now())
 	return nil
 }
 
--- a/entry/exchanger/pool.go
+++ b/entry/exchanger/pool.go
@@ -95,21 +95,21 @@
 	return 0, false
 }
 
-// peer is an upstream at one address. One that starts anew under its name may
+// endpoint is an upstream at one address. One that starts anew under its name may
 // have another address, and the connections to the old one are not its own.
-type peer struct {
+type endpoint struct {
 	name    core.UpstreamName
 	address string
 }
 
-func peerOf(upstream core.Upstream) peer {
-	return peer{name: upstream.Name, address: upstream.Address}
+func endpointOf(upstream core.Upstream) endpoint {
+	return endpoint{name: upstream.Name, address: upstream.Address}
 }
 
 // pool keeps the connections to each upstream.
 type pool struct {
-	mu    sync.Mutex
-	peers map[peer]*shelf
+	mu      sync.Mutex
+	shelves map[endpoint]*shelf
 }
 
 // shelf holds the idle connections to one upstream and counts all open ones.
@@ -120,7 +120,7 @@
 
 // take returns an idle connection that is fit for a request, the one used last
 // first, or nil. It reports whether the upstream had closed one of them.
-func (p *pool) take(to peer, now time.Time) (c *connection, wasClosed bool) {
+func (p *pool) take(to endpoint, now time.Time) (c *connection, wasClosed bool) {
 	for {
 		c := p.pop(to)
 		if c == nil {
@@ -135,10 +135,10 @@
 	}
 }
 
-func (p *pool) pop(to peer) *connection {
+func (p *pool) pop(to endpoint) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.peers[to]
+	s := p.shelves[to]
 	if s == nil || len(s.idle) == 0 {
 		return nil
 	}
@@ -151,16 +151,16 @@
 
 // reserve counts a connection that is about to be opened, and reports whether
 // the limit allows it; 0 means no limit.
-func (p *pool) reserve(to peer, limit int) bool {
+func (p *pool) reserve(to endpoint, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.peers == nil {
-		p.peers = map[peer]*shelf{}
+	if p.shelves == nil {
+		p.shelves = map[endpoint]*shelf{}
 	}
-	s := p.peers[to]
+	s := p.shelves[to]
 	if s == nil {
 		s = &shelf{}
-		p.peers[to] = s
+		p.shelves[to] = s
 	}
 	if limit > 0 && s.open >= limit {
 		return false
@@ -170,34 +170,34 @@
 }
 
 // release gives back what reserve counted.
-func (p *pool) release(to peer) {
+func (p *pool) release(to endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.peers[to]
+	s := p.shelves[to]
 	if s == nil {
 		return
 	}
 	s.open--
 	if s.open <= 0 && len(s.idle) == 0 {
-		delete(p.peers, to)
+		delete(p.shelves, to)
 	}
 }
 
-func (p *pool) put(to peer, c *connection, now time.Time) {
+func (p *pool) put(to endpoint, c *connection, now time.Time) {
 	c.expires = now.Add(c.idle)
 	c.isReused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.peers[to]; s != nil {
+	if s := p.shelves[to]; s != nil {
 		s.idle = append(s.idle, c)
 	}
 }
 
 // idleCount returns the number of idle connections to an upstream.
-func (p *pool) idleCount(to peer) int {
+func (p *pool) idleCount(to endpoint) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.peers[to]
+	s := p.shelves[to]
 	if s == nil {
 		return 0
 	}
@@ -205,13 +205,13 @@
 }
 
 // discard closes a connection that is not in the pool.
-func (p *pool) discard(to peer, c *connection) {
+func (p *pool) discard(to endpoint, c *connection) {
 	_ = c.Close()
 	p.release(to)
 }
 
 // closeIdle closes the idle connections to one upstream.
-func (p *pool) closeIdle(to peer) {
+func (p *pool) closeIdle(to endpoint) {
 	for c := p.pop(to); c != nil; c = p.pop(to) {
 		p.discard(to, c)
 	}
@@ -226,11 +226,11 @@
 	}
 }
 
-func (p *pool) expired(now time.Time) map[peer][]*connection {
+func (p *pool) expired(now time.Time) map[endpoint][]*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	gone := map[peer][]*connection{}
-	for to, s := range p.peers {
+	gone := map[endpoint][]*connection{}
+	for to, s := range p.shelves {
 		n := 0
 		for n < len(s.idle) && !now.Before(s.idle[n].expires) {
 			n++
@@ -247,8 +247,8 @@
 // Close closes all idle connections.
 func (e *Exchanger) Close() {
 	e.pool.mu.Lock()
-	all := make([]peer, 0, len(e.pool.peers))
-	for to := range e.pool.peers {
+	all := make([]endpoint, 0, len(e.pool.shelves))
+	for to := range e.pool.shelves {
 		all = append(all, to)
 	}
 	e.pool.mu.Unlock()
--- a/entry/exchanger/stream.go
+++ b/entry/exchanger/stream.go
@@ -82,9 +82,9 @@
 	isWhole := len(s.first) == 0 && s.rest.N == 0
 	isClean := s.conn.releaseReader() == 0
 	if isWhole && isClean && s.reusable {
-		s.exchanger.pool.put(peerOf(s.attempt.Upstream), s.conn, time.Now())
+		s.exchanger.pool.put(endpointOf(s.attempt.Upstream), s.conn, time.Now())
 	} else {
-		s.exchanger.pool.discard(peerOf(s.attempt.Upstream), s.conn)
+		s.exchanger.pool.discard(endpointOf(s.attempt.Upstream), s.conn)
 	}
 	if !isWhole && s.OnCut != nil {
 		s.OnCut()
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -40,9 +40,10 @@
 	key       string
 
 	start time.Time
-	// client is when the client stops waiting, deadline when it or the route does.
-	client   time.Time
-	deadline time.Time
+	// clientDeadline is when the client stops waiting, deadline when it or the
+	// route does.
+	clientDeadline time.Time
+	deadline       time.Time
 	// until is when the final answer must be on its way.
 	until time.Time
 	// hold is until when the request may wait for an upstream.
@@ -80,7 +81,7 @@
 	x := &exchange{forwarder: f, request: ctx, route: route, service: f.splitter.next(route), body: body, start: now}
 	x.hold = f.holdLimit(ctx, now)
 	client := f.deadline(ctx, now)
-	x.client, x.deadline, x.until = client, client, client.Add(-answerMargin)
+	x.clientDeadline, x.deadline, x.until = client, client, client.Add(-answerMargin)
 	if route.Timeout > 0 {
 		limit := now.Add(route.Timeout)
 		x.deadline = earlier(client, limit)
@@ -179,7 +180,7 @@
 		RequestID: x.event.RequestID,
 		Deadline:  x.deadline.Add(-choice.Trip / 2),
 		Until:     x.until,
-		BodyUntil: x.client,
+		BodyUntil: x.clientDeadline,
 		Trip:      choice.Trip,
 		Trace:     span.Parent(),
 	})
