--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -166,6 +166,15 @@
 	u.suspected = later(u.suspected, u.downUntil)
 }
 
+// fade returns what is left of a value after some time, in each half-life half of
+// it.
+func fade(value float64, age, halfLife time.Duration) float64 {
+	if value == 0 {
+		return 0
+	}
+	return value * math.Exp2(-float64(age)/float64(halfLife))
+}
+
 // usage counts requests, of which older ones count less.
 type usage struct {
 	weight float64
@@ -174,10 +183,7 @@
 
 // now returns the number as faded since the last request.
 func (g *usage) now(now time.Time) float64 {
-	if g.weight == 0 {
-		return 0
-	}
-	return g.weight * math.Exp2(-float64(now.Sub(g.at))/float64(useHalfLife))
+	return fade(g.weight, now.Sub(g.at), useHalfLife)
 }
 
 func (g *usage) count(now time.Time) {
@@ -193,10 +199,7 @@
 
 // now returns the rate as faded since the last attempt.
 func (f *faultRate) now(now time.Time) float64 {
-	if f.rate == 0 {
-		return 0
-	}
-	return f.rate * math.Exp2(-float64(now.Sub(f.at))/float64(faultHalfLife))
+	return fade(f.rate, now.Sub(f.at), faultHalfLife)
 }
 
 func (f *faultRate) count(failed bool, weight float64, now time.Time) {
