--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -60,7 +60,7 @@
 // reader returns the member that reads the store for this host; nil where there is
 // none. The caller holds Roster.mu.
 func (r *Roster) reader(now time.Time) *member {
-	if len(r.members) < smallFleet {
+	if !r.isLarge() {
 		return nil
 	}
 	g := r.rings()
@@ -84,7 +84,7 @@
 func (r *Roster) IsReader(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.members) >= smallFleet && r.reader(now) == nil
+	return r.isLarge() && r.reader(now) == nil
 }
 
 // IsLarge reports whether the fleet is so large that one host of a zone reads the
@@ -92,6 +92,11 @@
 func (r *Roster) IsLarge() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.isLarge()
+}
+
+// isLarge is IsLarge for callers that hold Roster.mu.
+func (r *Roster) isLarge() bool {
 	return len(r.members) >= smallFleet
 }
 
@@ -100,7 +105,7 @@
 func (r *Roster) Leads(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.members) < smallFleet {
+	if !r.isLarge() {
 		return true
 	}
 	g := r.rings()
--- a/entry/controller/check_test.go
+++ b/entry/controller/check_test.go
@@ -172,3 +172,8 @@
 	defer p.mu.Unlock()
 	return p.pending[name]
 }
+
+// wait returns when all checks have ended.
+func (p *prober) wait() {
+	p.group.Wait()
+}
--- a/entry/controller/prober.go
+++ b/entry/controller/prober.go
@@ -44,8 +44,3 @@
 	defer p.mu.Unlock()
 	delete(p.pending, name)
 }
-
-// wait returns when all checks have ended.
-func (p *prober) wait() {
-	p.group.Wait()
-}
