Read the rate limit that upstreams name, log it and count what is sent against it

Hosts now read the limit of each response and log when it is named, changed or ended (512, 513), count the attempts at limited upstreams by first attempt and repeat (limited_attempts, limited_upstreams), and log every 4 s what they sent to each (514). Nothing is decided by it yet.

What a statement means: a lower limit counts at once; a higher one, or a response without one, counts only if its request was sent after the limit was heard last, since it may otherwise be older. A new incarnation starts without a limit.

--- /dev/null
+++ b/core/placer/limit.go
@@ -0,0 +1,143 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// LimitStatement is what a response says about the rate limit of its upstream.
+type LimitStatement uint8
+
+// The statements of a response.
+const (
+	// LimitNotStated means that there was no response of the upstream.
+	LimitNotStated LimitStatement = iota
+	// NoLimit means that the response named no limit.
+	NoLimit
+	// Limited means that the response named a limit.
+	Limited
+	// LimitUnreadable means that the response named a limit that cannot be read.
+	LimitUnreadable
+)
+
+// RateLimit is what a response says about the requests a second that its upstream takes
+// from all hosts together.
+type RateLimit struct {
+	Statement LimitStatement
+	// Rate is set if Statement is Limited.
+	Rate core.RequestRate
+	// Finding says what is wrong with the statement; empty if nothing is.
+	Finding string
+}
+
+// KnownLimit is what a host knows about the rate limit of an upstream.
+type KnownLimit struct {
+	// InForce says that the upstream named a limit and has not ended it since.
+	InForce bool
+	Rate    core.RequestRate
+	// HeardAt is when the last response that named or ended the limit arrived.
+	HeardAt time.Time
+	// HeardBy is the host that got this response; empty means this host.
+	HeardBy core.HostName
+	// Finding says what was wrong with the last statement; empty if nothing was.
+	Finding string
+}
+
+// LimitChange reports that the rate limit of an upstream changed, or that its statement has
+// a new finding.
+type LimitChange struct {
+	Upstream core.Upstream
+	Limit    KnownLimit
+}
+
+// LimitUse is what one host did with an upstream that has a rate limit.
+type LimitUse struct {
+	Upstream core.Upstream
+	Limit    KnownLimit
+	// Sent counts the attempts at the upstream, and Repeats those of them that followed
+	// another attempt of the same request.
+	Sent, Repeats int
+}
+
+// limitUse counts attempts at an upstream since they were reported last.
+type limitUse struct {
+	sent, repeats int
+}
+
+func (l *limitUse) add(isRepeat bool) {
+	l.sent++
+	if isRepeat {
+		l.repeats++
+	}
+}
+
+// TakeLimitUse returns what the host did with each upstream that has a rate limit since the
+// last call. Upstreams that it did not use are left out.
+func (p *Placer) TakeLimitUse() []LimitUse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []LimitUse
+	for _, u := range p.upstreams {
+		use := u.limitUse
+		u.limitUse = limitUse{}
+		if u.limit.InForce && use.sent > 0 {
+			list = append(list, LimitUse{Upstream: u.Upstream, Limit: u.limit, Sent: use.sent, Repeats: use.repeats})
+		}
+	}
+	return list
+}
+
+// LimitedUpstreams returns the number of upstreams whose rate limit is in force.
+func (p *Placer) LimitedUpstreams() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, u := range p.upstreams {
+		if u.limit.InForce {
+			n++
+		}
+	}
+	return n
+}
+
+// recordLimit records what a response to a request that was sent at the given time says
+// about the rate limit. It returns nil if nothing changed.
+func (u *upstream) recordLimit(report Report, sentAt, now time.Time) *LimitChange {
+	next := u.limit
+	next.Finding = report.RateLimit.Finding
+	switch report.RateLimit.Statement {
+	case LimitNotStated:
+		return nil
+	case LimitUnreadable:
+		// An unreadable value does not end a limit.
+	case Limited:
+		isRaised := u.limit.InForce && report.RateLimit.Rate > u.limit.Rate
+		if isRaised && sentAt.Before(u.limit.HeardAt) {
+			return nil // The response may be older than the lower limit.
+		}
+		next.InForce, next.Rate = true, report.RateLimit.Rate
+		next.HeardAt, next.HeardBy = now, ""
+	case NoLimit:
+		if !u.limit.InForce {
+			return nil
+		}
+		if report.Outcome != Done || sentAt.Before(u.limit.HeardAt) {
+			return nil // The response may be older than the limit, or is not a regular one.
+		}
+		next.InForce, next.Rate = false, 0
+		next.HeardAt, next.HeardBy = now, ""
+	}
+	return u.setLimit(next)
+}
+
+// setLimit replaces what is known about the rate limit. It returns nil if only the time or
+// the host that heard it changed.
+func (u *upstream) setLimit(next KnownLimit) *LimitChange {
+	last := u.limit
+	u.limit = next
+	if last.InForce == next.InForce && last.Rate == next.Rate && last.Finding == next.Finding {
+		return nil
+	}
+	return &LimitChange{Upstream: u.Upstream, Limit: next}
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -57,6 +57,8 @@
 	// region that may move to another serving region from one window of two seconds to
 	// the next. 0 selects the default. SetMaxRegionShift changes it.
 	MaxRegionShift float64
+	// OnLimitChange is called after the rate limit of an upstream changed; nil ignores it.
+	OnLimitChange func(LimitChange)
 
 	mu        sync.Mutex
 	policy    *core.RoutingPolicy
@@ -122,8 +124,12 @@
 	// cold upstreams prevented it, so that another call of Choose may soon succeed.
 	IsThrottled bool
 
+	// Limit is the rate limit of the upstream that was known when it was selected.
+	Limit KnownLimit
+
 	key      uint64
 	isQueued bool
+	chosenAt time.Time
 }
 
 // SetPolicy replaces the routing policy.
@@ -151,11 +157,11 @@
 	if len(candidates.list) == 0 {
 		return Choice{}, false
 	}
-	return p.pick(s, candidates, key, now)
+	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
 
 // pick selects the cheapest candidate that its warm-up limit allows.
-func (p *Placer) pick(s *service, candidates candidateSet, key uint64, now time.Time) (Choice, bool) {
+func (p *Placer) pick(s *service, candidates candidateSet, key uint64, isRepeat bool, now time.Time) (Choice, bool) {
 	for len(candidates.list) > 0 {
 		i := candidates.cheapest(p.spillover.isAllowed(now))
 		c := candidates.list[i]
@@ -168,13 +174,16 @@
 		p.spillover.record(c.isSpillover && !c.hasServedKey, now)
 		p.migrations.record(!c.hasServedKey && candidates.anyServedKey(), now)
 		u.startAttempt(key, now)
+		u.limitUse.add(isRepeat)
 		return Choice{
 			Upstream:  u.Upstream,
 			Region:    u.region,
 			RoundTrip: p.roundTrip(u.region),
 			QueueTime: c.queueTime,
+			Limit:     u.limit,
 			key:       key,
 			isQueued:  c.queueTime > 0,
+			chosenAt:  now,
 		}, true
 	}
 	return Choice{IsThrottled: true}, false
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -62,11 +62,22 @@
 	ConnectionsClosed bool
 	// RemainingWarmUp is the remaining warm-up time that the upstream reported.
 	RemainingWarmUp time.Duration
+	// RateLimit is what the response says about the rate limit of the upstream.
+	RateLimit RateLimit
 }
 
 // Report records the result of the attempt for which the choice was made. It is called
 // once for each choice with an attempt; Release is called for the others.
 func (p *Placer) Report(choice Choice, report Report, now time.Time) {
+	change := p.recordReport(choice, report, now)
+	if change != nil && p.OnLimitChange != nil {
+		p.OnLimitChange(*change)
+	}
+}
+
+// recordReport records the result and returns the change of the upstream's rate limit, nil
+// if there is none.
+func (p *Placer) recordReport(choice Choice, report Report, now time.Time) *LimitChange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if report.DialTime > 0 {
@@ -74,7 +85,7 @@
 	}
 	u := p.upstreams[choice.Upstream.Name]
 	if u == nil || u.Incarnation != choice.Upstream.Incarnation {
-		return
+		return nil
 	}
 	u.finishAttempt()
 	if report.Load != nil {
@@ -87,6 +98,7 @@
 		u.suspectedAt = later(u.suspectedAt, now)
 	}
 	p.recordOutcome(u, choice, report, now)
+	return u.recordLimit(report, choice.chosenAt, now)
 }
 
 // recordOutcome updates failure rates, service times and the ejection of the
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -47,6 +47,9 @@
 	// lastThrottled is when the warm-up limit last kept a request from the upstream.
 	lastThrottled time.Time
 
+	limit    KnownLimit
+	limitUse limitUse
+
 	inFlight int
 	usage    decayingCounter
 	// sentAt holds the send times of the requests of the last second, oldest first.
--- a/core/unit.go
+++ b/core/unit.go
@@ -37,6 +37,9 @@
 	return Milliseconds(d / time.Millisecond)
 }
 
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
 // Weight is a relative share. In fair queueing and in Objectives a weight of 0 counts as
 // 1 (OrOne); in the traffic split of a route it means no share.
 type Weight float64
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -152,6 +152,7 @@
 		Pacer:          c.pacer,
 		AssumeCold:     !c.IsFirstStart,
 		MaxRegionShift: c.Bounds.MaxRegionShift,
+		OnLimitChange:  c.recordLimitChange,
 	}
 	c.retryBudget = &retrier.Budget{
 		Window:    c.Bounds.RetryBudgetWindow,
@@ -210,6 +211,7 @@
 	group.Go(func() { c.checkLocalRegion(background) })
 	group.Go(func() { c.followReader(background) })
 	group.Go(func() { c.probeStore(background) })
+	group.Go(func() { c.reportLimitUse(background) })
 
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -22,10 +22,11 @@
 		"store_age_seconds": func() float64 {
 			return c.storeStatus.timeSinceResponse(time.Now()).Seconds()
 		},
-		"upstreams":       func() float64 { return float64(c.upstreamCount()) },
-		"evacuated_zones": func() float64 { return float64(c.evacuatedZoneCount()) },
-		"sharing_hosts":   func() float64 { return float64(c.sharingHosts.Load()) },
-		"log_lines_lost":  func() float64 { return float64(c.Log.DroppedLines()) },
+		"upstreams":         func() float64 { return float64(c.upstreamCount()) },
+		"evacuated_zones":   func() float64 { return float64(c.evacuatedZoneCount()) },
+		"limited_upstreams": func() float64 { return float64(c.placer.LimitedUpstreams()) },
+		"sharing_hosts":     func() float64 { return float64(c.sharingHosts.Load()) },
+		"log_lines_lost":    func() float64 { return float64(c.Log.DroppedLines()) },
 	}
 	for name, read := range gauges {
 		c.Meter.RegisterGauge(name, read)
@@ -62,10 +63,21 @@
 	if e.Attempt.QueueTime > 0 {
 		c.Meter.Observe(meter.QueueTime, labels, e.Attempt.QueueTime)
 	}
+	if e.Attempt.IsLimited {
+		c.Meter.Count(meter.LimitedAttempts, meter.Labels{Service: labels.Service, Zone: labels.Zone, Cause: attemptCause(e.Attempt.IsRepeat)})
+	}
 	labels.Outcome = e.Attempt.Outcome.String()
 	c.Meter.Count(meter.Attempts, labels)
 }
 
+// attemptCause returns the label of a first attempt or of a repeat.
+func attemptCause(isRepeat bool) string {
+	if isRepeat {
+		return "repeat"
+	}
+	return "first"
+}
+
 // countRequest updates the metrics at the end of a request.
 func (c *Controller) countRequest(e forwarder.Event) {
 	labels := meter.Labels{Service: string(e.Service), Outcome: strconv.Itoa(e.Status)}
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -52,6 +52,9 @@
 	NotRun string
 	// RemainingWarmUp holds the remaining time of the upstream's warm-up in milliseconds.
 	RemainingWarmUp string
+	// RateLimit, in responses, holds the requests a second that the upstream takes from all
+	// hosts together, a decimal number. Without it the upstream names no limit.
+	RateLimit string
 	// Instance, in responses to health checks, names the upstream that responds.
 	Instance string
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	// ResponseTime is the time from sending the request to its response. QueueTime is an
 	// estimate: the time for which the attempt was expected to queue at the upstream.
 	ResponseTime, QueueTime time.Duration
+	// IsLimited says that the upstream had a rate limit that the host knew, and IsRepeat that
+	// the attempt followed another one of the same request.
+	IsLimited, IsRepeat bool
 }
 
 // Forwarder is an HTTP server that forwards client requests to upstreams.
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -208,6 +208,8 @@
 		Outcome:      report.Outcome,
 		ResponseTime: report.ResponseTime,
 		QueueTime:    choice.QueueTime,
+		IsLimited:    choice.Limit.InForce,
+		IsRepeat:     len(r.tried) > 1,
 	}
 	notify(r.forwarder.OnAttempt, event)
 }
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -93,6 +93,12 @@
 
 	UpstreamCold = Event{510, "upstream-cold", zerolog.InfoLevel, "A health check found an upstream cold; it gets few requests."}
 
+	UpstreamLimited = Event{512, "upstream-limited", zerolog.InfoLevel, "An upstream named, changed or ended the rate limit of its requests."}
+
+	UpstreamLimitUnreadable = Event{513, "upstream-limit-unreadable", zerolog.WarnLevel, "An invalid rate limit; the last valid one applies."}
+
+	UpstreamLimitUsed = Event{514, "upstream-limit-used", zerolog.InfoLevel, "What the host sent in 4 s to an upstream with a rate limit."}
+
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
 	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "A policy entry is invalid; the other entries apply."}
@@ -114,6 +120,7 @@
 	RequestRetried, RequestRefused, UpstreamFailed,
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
+	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved,
 }
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -45,6 +45,9 @@
 	Requests Metric = "requests"
 	// Attempts counts attempts at upstreams by service, zone and outcome.
 	Attempts Metric = "attempts"
+	// LimitedAttempts counts attempts at upstreams that had named a rate limit, by service,
+	// zone and cause: "first" or "repeat".
+	LimitedAttempts Metric = "limited_attempts"
 	// Retries counts retries by service.
 	Retries Metric = "retries"
 	// StoreCalls counts calls to the platform's store by kind of call.
