--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -117,3 +117,26 @@
 	is.Equal(use[0].Limit.Rate, core.RequestRate(8.6))
 	is.Equal(len(p.TakeLimitUse()), 0)
 }
+
+// TestNamedLimitOverAllHosts guards against an upstream that names a rate limit and goes on
+// getting its usual requests, because each host places them as if it had named none.
+func TestNamedLimitOverAllHosts(t *testing.T) {
+	tests := []struct {
+		name       string
+		deployment deployment
+		rate       core.RequestRate
+	}{
+		{"few hosts", smallDeployment, 8.6},
+		{"few hosts, a limit below their number", smallDeployment, 2},
+		{"many hosts, less than a hundredth each", largeDeployment, 1.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newLimitFleet(tt.deployment)
+			f.limit(0, tt.rate, 4, 24)
+			f.limit(7, tt.rate, 4, 24)
+			f.run(24)
+			f.checkLimits(t)
+		})
+	}
+}
--- /dev/null
+++ b/core/placer/limitfleet_test.go
@@ -0,0 +1,244 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/pacer"
+	"github.com/endiverun/endiverun/core/placer"
+)
+
+// limitFleet is a discrete-event simulation of hosts whose upstreams name rate limits. It
+// records what each upstream gets, and from which hosts that it had told its limit.
+type limitFleet struct {
+	deployment
+	now       time.Time
+	random    *rand.Rand
+	events    events
+	hosts     []*limitedHost
+	list      []core.Upstream
+	limits    map[core.UpstreamName]limitPhase
+	arrivals  map[core.UpstreamName][]arrival
+	countFrom time.Time
+	// served and refused count the requests that arrive after countFrom.
+	served, refused int
+}
+
+// deployment describes the size and the load of a simulated deployment.
+type deployment struct {
+	hosts, upstreams int
+	// requestRate is the number of requests a second of all clients.
+	requestRate  float64
+	responseTime time.Duration
+	keys         int
+}
+
+var (
+	smallDeployment = deployment{hosts: 11, upstreams: 22, requestRate: 550, responseTime: 120 * time.Millisecond, keys: 450}
+	largeDeployment = deployment{hosts: 295, upstreams: 789, requestRate: 3400, responseTime: 400 * time.Millisecond, keys: 20000}
+)
+
+// limitPhase says when an upstream names a limit, and which one.
+type limitPhase struct {
+	from, to time.Time
+	rate     core.RequestRate
+}
+
+// at returns what a response of the upstream at the given time says about its limit.
+func (l limitPhase) at(now time.Time) placer.RateLimit {
+	if l.from.IsZero() || now.Before(l.from) || !now.Before(l.to) {
+		return placer.RateLimit{Statement: placer.NoLimit}
+	}
+	return placer.RateLimit{Statement: placer.Limited, Rate: l.rate}
+}
+
+// arrival is a request that reached an upstream.
+type arrival struct {
+	at time.Time
+	// toldAt is when the host that sent it first got a response with the limit; zero if it
+	// had not when the request arrived.
+	toldAt time.Time
+}
+
+type limitedHost struct {
+	placer *placer.Placer
+	pacer  *pacer.Pacer
+	name   core.HostName
+	zone   core.ZoneName
+	// toldAt is when the host first got a response that named a limit, by upstream.
+	toldAt map[core.UpstreamName]time.Time
+}
+
+var limitZones = []core.ZoneName{"slz-a", "for-a", "nat-a", "slz-b", "for-b", "nat-b"}
+
+func newLimitFleet(d deployment) *limitFleet {
+	f := &limitFleet{
+		deployment: d, now: start, random: rand.New(rand.NewPCG(3, 4)),
+		limits: map[core.UpstreamName]limitPhase{}, arrivals: map[core.UpstreamName][]arrival{},
+	}
+	for i := range d.upstreams {
+		f.list = append(f.list, core.Upstream{
+			Name: core.UpstreamName(fmt.Sprint("upstream-", i)), Service: service, Zone: limitZones[i%len(limitZones)], Slots: 60, Incarnation: 1,
+		})
+	}
+	names := make([]core.HostName, d.hosts)
+	for i := range names {
+		names[i] = core.HostName(fmt.Sprint("host-", i))
+	}
+	for i, name := range names {
+		f.hosts = append(f.hosts, f.newHost(name, limitZones[i%len(limitZones)], names))
+	}
+	return f
+}
+
+func (f *limitFleet) newHost(name core.HostName, zone core.ZoneName, names []core.HostName) *limitedHost {
+	h := &limitedHost{name: name, zone: zone, toldAt: map[core.UpstreamName]time.Time{}}
+	h.pacer = &pacer.Pacer{Self: name, RateMultiplier: 1.5, Burst: 5}
+	h.pacer.SetHosts(names)
+	h.placer = &placer.Placer{Zone: core.Zone{Name: zone, Region: regions[zone]}, RegionByZone: regions, Pacer: h.pacer}
+	h.placer.SetPolicy(core.NewRoutingPolicy(1, nil, []core.ServicePolicy{{Name: service}}, core.ClientLimits{}))
+	h.placer.SetEvacuatedZones(nil, f.now)
+	h.placer.SetUpstreams(f.list, f.now)
+	return h
+}
+
+// limit makes an upstream name a limit from one second to another.
+func (f *limitFleet) limit(index int, rate core.RequestRate, from, to float64) {
+	f.limits[f.list[index].Name] = limitPhase{from: at(from), to: at(to), rate: rate}
+}
+
+// schedule runs the function after the given simulated time.
+func (f *limitFleet) schedule(delay time.Duration, handle func()) {
+	heap.Push(&f.events, event{f.now.Add(delay), handle})
+}
+
+// run simulates until the given second. Clients send requests to hosts at random, as
+// often to each.
+func (f *limitFleet) run(until float64) {
+	interval := float64(time.Second) / f.requestRate
+	var arrive func()
+	arrive = func() {
+		f.request(f.hosts[f.random.IntN(len(f.hosts))])
+		f.schedule(time.Duration(f.random.ExpFloat64()*interval), arrive)
+	}
+	f.schedule(0, arrive)
+	for f.events.Len() > 0 && f.events[0].at.Before(at(until)) {
+		next, ok := heap.Pop(&f.events).(event)
+		if !ok {
+			return
+		}
+		f.now = next.at
+		next.handle()
+	}
+}
+
+// request sends one request to a host, which may hold it for some time.
+func (f *limitFleet) request(h *limitedHost) {
+	const holdTime = 400 * time.Millisecond
+	key := fmt.Sprint(regions[h.zone], f.random.IntN(f.keys))
+	f.place(h, query(key), f.now.Add(holdTime))
+}
+
+// place sends a request to an upstream, tries again later while only limits prevent it, or
+// refuses it.
+func (f *limitFleet) place(h *limitedHost, q placer.Query, holdDeadline time.Time) {
+	const pollInterval = 20 * time.Millisecond
+	choice, ok := h.placer.Choose(q, f.now)
+	if !ok && choice.IsThrottled && f.now.Before(holdDeadline) {
+		f.schedule(pollInterval, func() { f.place(h, q, holdDeadline) })
+		return
+	}
+	if !f.now.Before(f.countFrom) {
+		if ok {
+			f.served++
+		} else {
+			f.refused++
+		}
+	}
+	if ok {
+		f.send(h, choice)
+	}
+}
+
+// send carries a request to its upstream and the response back.
+func (f *limitFleet) send(h *limitedHost, choice placer.Choice) {
+	oneWay := time.Millisecond
+	if choice.Region != regions[h.zone] {
+		oneWay = interRegionRoundTrip / 2
+	}
+	name := choice.Upstream.Name
+	f.schedule(oneWay, func() {
+		f.arrivals[name] = append(f.arrivals[name], arrival{at: f.now, toldAt: h.toldAt[name]})
+	})
+	f.schedule(oneWay+f.responseTime, func() {
+		limit := f.limits[name].at(f.now)
+		f.schedule(oneWay, func() {
+			if _, ok := h.toldAt[name]; !ok && limit.Statement == placer.Limited {
+				h.toldAt[name] = f.now
+			}
+			h.placer.Report(choice, placer.Report{Outcome: placer.Done, ResponseTime: f.responseTime, RateLimit: limit}, f.now)
+		})
+	})
+}
+
+const (
+	// limitWindow is the time over which a limit is checked, and limitSettleTime the time
+	// after the first statement from which it is.
+	limitWindow     = 4 * time.Second
+	limitSettleTime = 4 * time.Second
+	// toldFor is how long ago a host must have been told a limit for its requests to count.
+	toldFor = 500 * time.Millisecond
+)
+
+// maxArrivals returns the most requests in a window that a limit allows.
+func maxArrivals(rate core.RequestRate) int {
+	const tolerance, slack = 1.5, 5
+	return int(tolerance*limitWindow.Seconds()*float64(rate) + slack)
+}
+
+// mostArrivals returns the most requests that an upstream with a limit got in any window,
+// among those that isCounted accepts.
+func (f *limitFleet) mostArrivals(name core.UpstreamName, isCounted func(arrival) bool) int {
+	phase := f.limits[name]
+	var times []time.Time
+	for _, a := range f.arrivals[name] {
+		if !a.at.Before(phase.from.Add(limitSettleTime)) && a.at.Before(phase.to) && isCounted(a) {
+			times = append(times, a.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most, oldest := 0, 0
+	for i, last := range times {
+		for last.Sub(times[oldest]) >= limitWindow {
+			oldest++
+		}
+		most = max(most, i-oldest+1)
+	}
+	return most
+}
+
+// isFromToldHost reports whether the host that sent a request had been told the limit.
+func isFromToldHost(a arrival) bool {
+	return !a.toldAt.IsZero() && a.at.Sub(a.toldAt) >= toldFor
+}
+
+// checkLimits fails the test if an upstream got more requests of the hosts that it had told
+// than its limit allows.
+func (f *limitFleet) checkLimits(t *testing.T) {
+	t.Helper()
+	for _, u := range f.list {
+		phase, ok := f.limits[u.Name]
+		if !ok {
+			continue
+		}
+		if got, allowed := f.mostArrivals(u.Name, isFromToldHost), maxArrivals(phase.rate); got > allowed {
+			t.Errorf("%s with a limit of %v a second got %d requests in %v of hosts that knew it; allowed %d",
+				u.Name, phase.rate, got, limitWindow, allowed)
+		}
+	}
+}
