Keep the rate limit that an upstream names, over all hosts

An upstream that named a limit of 8.6 requests a second went on getting 25 to 41.

Cause: a bound that is meant over all hosts and that no host computed its part of. Hosts passed the statement on with the response and placed requests as before.

Each host now sends at most its share, evenly spaced, and saves nothing up. Where there are more hosts than 4 plus the limit, rendezvous hashing selects the senders, since in 4 s n hosts send up to 4 * limit + n. Hosts of the upstream's own region have four times the share of the others, because a key has one upstream in the region of its clients. A request that finds its upstream closed goes to the next one of the key's order in the same region. If all are closed it is held as long as its turn comes in time; otherwise it is refused at once, with a time of return that follows the limit (cause rate-limit). An upstream that is cold and limited gets the lower of the two.

If all 22 upstreams are limited, more than 85% of the sum is used.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -1,23 +1,33 @@
-// Package pacer limits the rate of requests to cold upstreams: those in their warm-up
-// (core.ServicePolicy.WarmUp).
+// Package pacer divides rates of requests that apply to all hosts together: that of an
+// upstream in its warm-up (core.ServicePolicy.WarmUp), which is cold, and the rate limit
+// that an upstream names while it serves.
 //
-// The limit applies to all hosts together: rate * RateMultiplier + Burst requests in any
-// second to an upstream that tolerates rate. Each host uses an equal share of it
-// with even spacing between its requests, and never communicates with the other
-// hosts. If there are more hosts than requests allowed in a second, only some
-// hosts, selected by rendezvous hashing, send requests to a cold upstream.
+// The limit of a cold upstream is rate * RateMultiplier + Burst requests in any second
+// for an upstream that tolerates rate. The limit that an upstream names is that many
+// requests a second. Each host uses a share of either with even spacing between
+// its requests, and never communicates with the other hosts about it. Of a limit that an
+// upstream names, hosts of its own region have larger shares than the others, because
+// they place most of its requests. Where shares would be too small, only some hosts,
+// selected by rendezvous hashing, send requests to the upstream: a first request of every
+// host would exceed the limit already.
+//
+// Nothing is saved: a host that did not use its share may send one request and then
+// keeps the spacing again.
 //
 // # Usage
 //
 //	p := &pacer.Pacer{Self: name, RateMultiplier: 1.5, Burst: 5}
-//	p.SetHosts(names)
+//	p.SetHosts(hosts)
 //	if p.Allow(upstream, rate, recent, now) { /* send */ }
+//	interval, ok := p.Interval(upstream, region, limit)
+//	if ok && now.Sub(lastSent) >= interval { /* send */ }
 //
 // Lock order: no other lock is acquired while Pacer.mu is held.
 package pacer
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,13 +41,22 @@
 	// intervalFactor lengthens the interval between two requests for the same
 	// reason.
 	intervalFactor = 1.1
+	// extraSenders is how many hosts may send requests to an upstream beyond the requests a
+	// second that its limit allows. In 4 s, n hosts with even spacing send at most
+	// 4 * limit + n requests; upstreams tolerate 6 * limit + 5.
+	extraSenders = 4
+	// minLimit is the lowest limit that is kept, in requests a second. With none at all, no
+	// host would notice that an upstream has ended its limit.
+	minLimit = 0.1
+	// localWeight is the share of a host in the region of the upstream as a multiple of the
+	// share of a host in another region.
+	localWeight = 4.0
 	// idleExpiry is how long after the time of the next allowed request an upstream
 	// is forgotten.
 	idleExpiry = time.Minute
 )
 
-// Pacer limits the requests of one host to its share of the warm-up limits of
-// all cold upstreams.
+// Pacer holds the share of one host in the limits of upstreams.
 type Pacer struct {
 	// Self is the name of this host.
 	Self core.HostName
@@ -49,7 +68,9 @@
 	Burst float64
 
 	mu    sync.Mutex
-	hosts []core.HostName
+	hosts []core.Host
+	// shares caches the results of limitShare for the current hosts.
+	shares map[core.UpstreamName]cachedShare
 	// nextAllowed is the earliest time of the next request to each upstream.
 	nextAllowed map[core.UpstreamName]time.Time
 }
@@ -64,10 +85,12 @@
 // SetHosts sets the hosts that may send requests, including this one. The list
 // must contain every host that may be alive, because a host that stopped sending
 // heartbeats may still send requests.
-func (p *Pacer) SetHosts(hosts []core.HostName) {
+func (p *Pacer) SetHosts(hosts []core.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = hosts
+	if !slices.Equal(p.hosts, hosts) {
+		p.hosts, p.shares = hosts, nil
+	}
 }
 
 // Allow reports whether this host may now send one request to a cold upstream that
@@ -116,7 +139,7 @@
 	ownWeight := core.RendezvousWeight(string(p.Self), string(upstream))
 	higher := 0
 	for _, h := range p.hosts {
-		if core.RendezvousWeight(string(h), string(upstream)) > ownWeight {
+		if core.RendezvousWeight(string(h.Name), string(upstream)) > ownWeight {
 			higher++
 		}
 	}
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -26,7 +26,7 @@
 		hosts := make([]*pacer.Pacer, len(names))
 		for i, name := range names {
 			hosts[i] = &pacer.Pacer{Self: name, RateMultiplier: overage, Burst: slack}
-			hosts[i].SetHosts(names)
+			hosts[i].SetHosts(namedHosts(names...))
 		}
 		var sent []time.Time
 		start := time.Unix(1000, 0)
@@ -64,7 +64,7 @@
 	senders := 0
 	for _, name := range names {
 		p := &pacer.Pacer{Self: name, RateMultiplier: 1.5, Burst: 8}
-		p.SetHosts(names)
+		p.SetHosts(namedHosts(names...))
 		if p.Allow("upstream", 6.9, 0, time.Unix(1000, 0)) {
 			senders++
 		}
--- a/core/placer/bench_test.go
+++ b/core/placer/bench_test.go
@@ -28,3 +28,22 @@
 		})
 	}
 }
+
+// BenchmarkChooseLimited measures Choose and Report if every upstream names a rate limit, in
+// a deployment with many hosts.
+func BenchmarkChooseLimited(b *testing.B) {
+	var others []core.HostName
+	for i := range 294 {
+		others = append(others, core.HostName(fmt.Sprint("host-", i)))
+	}
+	zones := []core.ZoneName{"slz-a", "slz-b", "for-a", "for-b", "nat-a", "nat-b"}
+	p := newPlacer("for-a", upstreamsIn(130, zones...), others...)
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		choice, ok := p.Choose(query(fmt.Sprint(i%500)), now)
+		if ok {
+			p.Report(choice, limited(1.5), now)
+		}
+	}
+}
--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -42,6 +42,9 @@
 	isSpillover bool
 	// hasServedKey marks an upstream that this host sent the key to before.
 	hasServedKey bool
+	// replaces is the upstream of the same region that would get the key if its rate limit
+	// allowed an attempt now; nil if there is none.
+	replaces *upstream
 }
 
 // candidateSet holds the candidates for one request.
@@ -51,12 +54,13 @@
 	minGain time.Duration
 }
 
-// findCandidates returns the candidates for the key with their costs. Ejected
-// upstreams are left out unless all eligible upstreams are ejected.
+// findCandidates returns the candidates for the key with their costs. Upstreams whose
+// rate limit allows this host no attempt now are left out. Ejected upstreams are left out
+// unless no other upstream may get the request.
 func (p *Placer) findCandidates(s *service, query Query, key uint64, now time.Time) candidateSet {
-	candidates := candidateSet{list: p.rankCandidates(s, query, key, func(u *upstream) bool { return !u.isEjected(now) })}
+	candidates := candidateSet{list: p.rankCandidates(s, query, key, now, func(u *upstream) bool { return !u.isEjected(now) })}
 	if len(candidates.list) == 0 {
-		candidates.list = p.rankCandidates(s, query, key, func(*upstream) bool { return true })
+		candidates.list = p.rankCandidates(s, query, key, now, func(*upstream) bool { return true })
 	}
 	candidates.minGain = time.Duration(spilloverGain * float64(s.serviceTime.valueOr(defaultServiceTime)))
 	mayMigrate := !candidates.anyServedKey() || p.migrations.isAllowed(now)
@@ -67,24 +71,11 @@
 }
 
 // rankCandidates returns the candidates for the key among the upstreams that
-// isUsable accepts: the first upstream of each of the first regions in the key's
-// order, or the first ones of a single region if no other has usable upstreams.
-func (p *Placer) rankCandidates(s *service, query Query, key uint64, isUsable func(*upstream) bool) []candidate {
-	var regions [][]*upstream
-	for _, r := range s.plan.regionOrder(key, p.Zone.Region, s.regions) {
-		if len(query.HomeRegions) > 0 && !slices.Contains(query.HomeRegions, r.name) {
-			continue
-		}
-		usable := filter(r.members, func(u *upstream) bool {
-			return !slices.Contains(query.Exclude, u.Name) && isUsable(u)
-		})
-		if len(usable) == 0 {
-			continue
-		}
-		if regions = append(regions, usable); len(regions) == candidatesPerKey {
-			break
-		}
-	}
+// isUsable accepts and whose rate limit allows an attempt: the first upstream of each of
+// the first regions in the key's order, or the first ones of a single region if no other
+// has such upstreams.
+func (p *Placer) rankCandidates(s *service, query Query, key uint64, now time.Time, isUsable func(*upstream) bool) []candidate {
+	regions, closed := p.usableByRegion(s, query, key, now, isUsable)
 	n := 1
 	if len(regions) == 1 {
 		n = candidatesPerKey
@@ -95,12 +86,57 @@
 			c.isSpillover = i > 0
 			c.isPrimary = rank == 0 && !c.isSpillover
 			_, c.hasServedKey = c.upstream.servedKeys[key]
+			if rank == 0 {
+				c.replaces = firstBefore(c, closed, key)
+			}
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// usableByRegion returns the usable upstreams of the first regions in the key's order that
+// have any, and the upstreams that only their rate limit excludes.
+func (p *Placer) usableByRegion(
+	s *service, query Query, key uint64, now time.Time, isUsable func(*upstream) bool,
+) (regions [][]*upstream, closed []*upstream) {
+	for _, r := range s.plan.regionOrder(key, p.Zone.Region, s.regions) {
+		if !query.allowsRegion(r.name) {
+			continue
+		}
+		usable := filter(r.members, func(u *upstream) bool {
+			if slices.Contains(query.Exclude, u.Name) || !isUsable(u) {
+				return false
+			}
+			if !p.isOpen(u, now) {
+				closed = append(closed, u)
+				return false
+			}
+			return true
+		})
+		if len(usable) == 0 {
+			continue
+		}
+		if regions = append(regions, usable); len(regions) == candidatesPerKey {
+			break
+		}
+	}
+	return regions, closed
+}
+
+// firstBefore returns the first upstream of the candidate's region in the key's order
+// among those that their rate limit closes, if it comes before the candidate.
+func firstBefore(c candidate, closed []*upstream, key uint64) *upstream {
+	var first *upstream
+	highest := c.weight
+	for _, u := range closed {
+		if weight := core.CombineHashes(key, u.hash); u.region == c.upstream.region && weight > highest {
+			first, highest = u, weight
+		}
+	}
+	return first
+}
+
 func filter(members []*upstream, keep func(*upstream) bool) []*upstream {
 	kept := make([]*upstream, 0, len(members))
 	for _, u := range members {
@@ -137,7 +173,8 @@
 // estimateCost sets the queueing time and the cost of the candidate. A key that
 // the upstream has not served takes longer, which adds a penalty. The primary
 // candidate is exempt while migrations are allowed, so that it takes over its
-// keys at the rate of that limit.
+// keys at the rate of that limit. The replacement of an upstream that its rate limit
+// closes is exempt too, so that its keys stay in their region.
 func (p *Placer) estimateCost(c *candidate, s *service, query Query, mayMigrate bool, now time.Time) {
 	u, serviceTime := c.upstream, s.serviceTime.valueOr(defaultServiceTime)
 	c.queueTime = u.queueTime(serviceTime, now)
@@ -149,7 +186,7 @@
 	if slowdown := u.serviceTime.valueOr(serviceTime) - time.Duration(slowFactor*float64(serviceTime)); slowdown > 0 {
 		c.cost += slowdown
 	}
-	isExempt := c.hasServedKey || (c.isPrimary && mayMigrate)
+	isExempt := c.hasServedKey || c.replaces != nil || (c.isPrimary && mayMigrate)
 	if query.HasAffinity && !isExempt {
 		c.cost += time.Duration(unservedKeyPenalty * float64(serviceTime))
 	}
--- a/core/placer/fleet_test.go
+++ b/core/placer/fleet_test.go
@@ -48,7 +48,7 @@
 	}
 	for i, name := range names {
 		pacing := &pacer.Pacer{Self: name, RateMultiplier: 1.5, Burst: 5}
-		pacing.SetHosts(names)
+		pacing.SetHosts(namedHosts(names...))
 		zone := zones[i%len(zones)]
 		p := &placer.Placer{Zone: core.Zone{Name: zone, Region: regions[zone]}, RegionByZone: regions, Pacer: pacing}
 		policy := core.ServicePolicy{Name: service, WarmUp: warmUp, WarmUpRate: 17}
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
@@ -55,14 +56,18 @@
 type LimitUse struct {
 	Upstream core.Upstream
 	Limit    KnownLimit
+	// Interval is the shortest time between two attempts of this host. It is 0 if this host
+	// may make none, because others do.
+	Interval time.Duration
 	// Sent counts the attempts at the upstream, and Repeats those of them that followed
-	// another attempt of the same request.
-	Sent, Repeats int
+	// another attempt of the same request. Moved counts the attempts that went to another
+	// upstream because of the limit.
+	Sent, Repeats, Moved int
 }
 
 // limitUse counts attempts at an upstream since they were reported last.
 type limitUse struct {
-	sent, repeats int
+	sent, repeats, moved int
 }
 
 func (l *limitUse) add(isRepeat bool) {
@@ -81,13 +86,70 @@
 	for _, u := range p.upstreams {
 		use := u.limitUse
 		u.limitUse = limitUse{}
-		if u.limit.InForce && use.sent > 0 {
-			list = append(list, LimitUse{Upstream: u.Upstream, Limit: u.limit, Sent: use.sent, Repeats: use.repeats})
+		if !u.limit.InForce || use == (limitUse{}) {
+			continue
 		}
+		interval, _ := p.Pacer.Interval(u.Name, u.region, u.limit.Rate)
+		list = append(list, LimitUse{
+			Upstream: u.Upstream, Limit: u.limit, Interval: interval, Sent: use.sent, Repeats: use.repeats, Moved: use.moved,
+		})
 	}
 	return list
 }
 
+// isOpen reports whether the rate limit of the upstream allows this host an attempt now.
+func (p *Placer) isOpen(u *upstream, now time.Time) bool {
+	if !u.limit.InForce {
+		return true
+	}
+	interval, ok := p.Pacer.Interval(u.Name, u.region, u.limit.Rate)
+	return ok && now.Sub(u.lastSentAt) >= interval
+}
+
+// Room is what the rate limits of upstreams leave to this host.
+type Room struct {
+	// OpensIn is the time until the first upstream may get an attempt.
+	OpensIn time.Duration
+	// Rate is the number of attempts a second that this host may make at all of them
+	// together, 0 if others may and this host may not.
+	Rate core.RequestRate
+}
+
+// Wait returns the time after which a request may be sent while a number of others wait.
+func (r *Room) Wait(others int) time.Duration {
+	if r.Rate <= 0 {
+		return maxOpensIn
+	}
+	return min(r.OpensIn+time.Duration(float64(others)/float64(r.Rate)*float64(time.Second)), maxOpensIn)
+}
+
+// maxOpensIn is the longest result of Wait.
+const maxOpensIn = time.Minute
+
+// room returns what rate limits leave for a request that no upstream may get now, nil if
+// no upstream that could serve the request has a rate limit.
+func (p *Placer) room(s *service, query Query, now time.Time) *Room {
+	var room *Room
+	for _, r := range s.regions {
+		if !query.allowsRegion(r.name) {
+			continue
+		}
+		for _, u := range r.members {
+			if !u.limit.InForce || slices.Contains(query.Exclude, u.Name) {
+				continue
+			}
+			if room == nil {
+				room = &Room{OpensIn: maxOpensIn}
+			}
+			if interval, ok := p.Pacer.Interval(u.Name, u.region, u.limit.Rate); ok {
+				room.OpensIn = min(room.OpensIn, max(u.lastSentAt.Add(interval).Sub(now), 0))
+				room.Rate += core.RequestRate(1 / interval.Seconds())
+			}
+		}
+	}
+	return room
+}
+
 // LimitedUpstreams returns the number of upstreams whose rate limit is in force.
 func (p *Placer) LimitedUpstreams() int {
 	p.mu.Lock()
--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,10 +134,166 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newLimitFleet(tt.deployment)
-			f.limit(0, tt.rate, 4, 24)
-			f.limit(7, tt.rate, 4, 24)
-			f.run(24)
+			f.limit(0, tt.rate)
+			f.limit(7, tt.rate)
+			f.run(limitedUntil)
 			f.checkLimits(t)
 		})
 	}
 }
+
+// TestLimitIsUsedAndCausesNoRefusal guards against a limit that turns into refusals while
+// other upstreams have room, and against one of which hosts use almost nothing.
+func TestLimitIsUsedAndCausesNoRefusal(t *testing.T) {
+	is := is.New(t)
+	const rate = 8.6
+	f := newLimitFleet(smallDeployment)
+	f.limit(0, rate)
+	f.limit(7, rate)
+	f.run(limitedUntil)
+	f.checkLimits(t)
+	is.Equal(f.refused, 0)
+	for _, i := range []int{0, 7} {
+		is.True(f.meanArrivals(f.list[i].Name, 8, limitedUntil) > rate/2)
+	}
+}
+
+// TestAllUpstreamsNameLimits guards against limits of a whole service that are exceeded, or
+// of which hosts leave a large part unused while they refuse requests.
+func TestAllUpstreamsNameLimits(t *testing.T) {
+	is := is.New(t)
+	const rate = 10.0
+	f := newLimitFleet(smallDeployment)
+	for i := range f.list {
+		f.limit(i, rate)
+	}
+	f.countFrom = at(8)
+	f.run(limitedUntil)
+	f.checkLimits(t)
+	const seconds = limitedUntil - 8.0
+	limit := seconds * rate * float64(len(f.list))
+	is.True(float64(f.served) > 0.85*limit)
+	// Each host may send one request to each upstream before the first interval ends.
+	is.True(float64(f.served) <= limit+float64(len(f.hosts)*len(f.list)))
+	is.True(f.refused > 0)
+}
+
+// TestLowerLimitCountsAtOnce guards against a host that sends what a former, higher limit
+// allowed, and against requests that are saved up while a limit is high.
+func TestLowerLimitCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	send := func(seconds float64, rate core.RequestRate) bool {
+		choice, ok := p.Choose(query("1"), at(seconds))
+		if ok {
+			p.Report(choice, limited(rate), at(seconds))
+		}
+		return ok
+	}
+	is.True(send(0, 10))
+	is.True(!send(0.05, 10))
+	is.True(send(0.1, 2))
+	is.True(!send(0.2, 2)) // the limit of 10 would allow it
+	is.True(send(20, 2))
+	is.True(!send(20.1, 2)) // nothing is saved up
+	is.True(send(20.5, 2))
+}
+
+// TestLimitKeepsKeysInTheirRegion guards against a limit that moves the requests of a
+// region to another one although the region has other upstreams.
+func TestLimitKeepsKeysInTheirRegion(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(3, "slz-a", "for-a", "nat-a"))
+	key, first := localKey(t, p)
+	choice, ok := p.Choose(query(key), at(1))
+	is.True(ok)
+	is.Equal(choice.Upstream.Name, first.Name)
+	p.Report(choice, limited(0.5), at(1))
+	for i := range 5 {
+		moved := complete(t, p, query(key), at(1.1+0.1*float64(i)))
+		is.True(moved.Name != first.Name)
+		is.Equal(moved.Zone, first.Zone)
+	}
+	is.Equal(complete(t, p, query(key), at(4)).Name, first.Name)
+}
+
+// localKey returns a key that the placer sends to its own region, and the upstream.
+func localKey(t *testing.T, p *placer.Placer) (string, core.Upstream) {
+	t.Helper()
+	for i := range 100 {
+		key := fmt.Sprint("key-", i)
+		if u := complete(t, p, query(key), start); regions[u.Zone] == p.Zone.Region {
+			return key, u
+		}
+	}
+	t.Fatal("no key is planned for the local region")
+	return "", core.Upstream{}
+}
+
+// TestLimitInHomeRegion guards against a limit that sends a request outside its home
+// regions. The request must be told when the limit allows it instead.
+func TestLimitInHomeRegion(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a", "for-a"))
+	q := query("1")
+	q.HomeRegions = []core.RegionName{"for"}
+	choice, ok := p.Choose(q, start)
+	is.True(ok)
+	p.Report(choice, limited(2), start)
+	choice, ok = p.Choose(q, at(0.1))
+	is.True(!ok)
+	is.True(choice.IsThrottled)
+	is.Equal(choice.Room.OpensIn, 400*time.Millisecond)
+	is.Equal(choice.Room.Rate, core.RequestRate(2))
+	is.Equal(choice.Room.Wait(3), 1900*time.Millisecond)
+	choice, ok = p.Choose(q, at(0.5))
+	is.True(ok)
+	is.Equal(choice.Region, core.RegionName("for"))
+}
+
+// TestReleasedAttemptUsesNoLimit guards against an attempt that was not sent and counts as
+// one, so that the next has to wait.
+func TestReleasedAttemptUsesNoLimit(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	choice, ok := p.Choose(query("1"), start)
+	is.True(ok)
+	p.Report(choice, limited(1), start)
+	choice, ok = p.Choose(query("1"), at(2))
+	is.True(ok)
+	p.Release(choice)
+	_, ok = p.Choose(query("1"), at(2.1))
+	is.True(ok)
+}
+
+// TestColdAndLimitedUpstream guards against an upstream that is cold and has a rate limit
+// and gets more than the lower of the two.
+func TestColdAndLimitedUpstream(t *testing.T) {
+	tests := []struct {
+		name string
+		rate core.RequestRate
+		most int
+	}{
+		{"the rate limit is lower", 2, 4},
+		{"the warm-up limit is lower", 1000, 52},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+			choice, ok := p.Choose(query("1"), start)
+			is.True(ok)
+			p.Report(choice, limited(tt.rate), start)
+			p.MarkCold("slz-a-0", time.Minute, start)
+			sent := 0
+			for now := at(1); now.Before(at(3)); now = now.Add(time.Millisecond) {
+				if choice, ok := p.Choose(query("1"), now); ok {
+					p.Report(choice, limited(tt.rate), now)
+					sent++
+				}
+			}
+			is.True(sent > 0)
+			is.True(sent <= tt.most)
+		})
+	}
+}
--- a/core/placer/limitfleet_test.go
+++ b/core/placer/limitfleet_test.go
@@ -66,10 +66,9 @@
 }
 
 type limitedHost struct {
+	core.Host
 	placer *placer.Placer
 	pacer  *pacer.Pacer
-	name   core.HostName
-	zone   core.ZoneName
 	// toldAt is when the host first got a response that named a limit, by upstream.
 	toldAt map[core.UpstreamName]time.Time
 }
@@ -86,30 +85,37 @@
 			Name: core.UpstreamName(fmt.Sprint("upstream-", i)), Service: service, Zone: limitZones[i%len(limitZones)], Slots: 60, Incarnation: 1,
 		})
 	}
-	names := make([]core.HostName, d.hosts)
-	for i := range names {
-		names[i] = core.HostName(fmt.Sprint("host-", i))
+	peers := make([]core.Host, d.hosts)
+	for i := range peers {
+		zone := limitZones[i%len(limitZones)]
+		peers[i] = core.Host{Name: core.HostName(fmt.Sprint("host-", i)), Zone: core.Zone{Name: zone, Region: regions[zone]}}
 	}
-	for i, name := range names {
-		f.hosts = append(f.hosts, f.newHost(name, limitZones[i%len(limitZones)], names))
+	for _, self := range peers {
+		f.hosts = append(f.hosts, f.newHost(self, peers))
 	}
 	return f
 }
 
-func (f *limitFleet) newHost(name core.HostName, zone core.ZoneName, names []core.HostName) *limitedHost {
-	h := &limitedHost{name: name, zone: zone, toldAt: map[core.UpstreamName]time.Time{}}
-	h.pacer = &pacer.Pacer{Self: name, RateMultiplier: 1.5, Burst: 5}
-	h.pacer.SetHosts(names)
-	h.placer = &placer.Placer{Zone: core.Zone{Name: zone, Region: regions[zone]}, RegionByZone: regions, Pacer: h.pacer}
+func (f *limitFleet) newHost(self core.Host, peers []core.Host) *limitedHost {
+	h := &limitedHost{Host: self, toldAt: map[core.UpstreamName]time.Time{}}
+	h.pacer = &pacer.Pacer{Self: self.Name, RateMultiplier: 1.5, Burst: 5}
+	h.pacer.SetHosts(peers)
+	h.placer = &placer.Placer{Zone: self.Zone, RegionByZone: regions, Pacer: h.pacer}
 	h.placer.SetPolicy(core.NewRoutingPolicy(1, nil, []core.ServicePolicy{{Name: service}}, core.ClientLimits{}))
 	h.placer.SetEvacuatedZones(nil, f.now)
 	h.placer.SetUpstreams(f.list, f.now)
 	return h
 }
 
-// limit makes an upstream name a limit from one second to another.
-func (f *limitFleet) limit(index int, rate core.RequestRate, from, to float64) {
-	f.limits[f.list[index].Name] = limitPhase{from: at(from), to: at(to), rate: rate}
+// Upstreams name limits from the second limitedFrom to the second limitedUntil.
+const (
+	limitedFrom  = 4
+	limitedUntil = 24
+)
+
+// limit makes an upstream name a limit.
+func (f *limitFleet) limit(index int, rate core.RequestRate) {
+	f.limits[f.list[index].Name] = limitPhase{from: at(limitedFrom), to: at(limitedUntil), rate: rate}
 }
 
 // schedule runs the function after the given simulated time.
@@ -140,7 +146,7 @@
 // request sends one request to a host, which may hold it for some time.
 func (f *limitFleet) request(h *limitedHost) {
 	const holdTime = 400 * time.Millisecond
-	key := fmt.Sprint(regions[h.zone], f.random.IntN(f.keys))
+	key := fmt.Sprint(h.Zone.Region, f.random.IntN(f.keys))
 	f.place(h, query(key), f.now.Add(holdTime))
 }
 
@@ -168,7 +174,7 @@
 // send carries a request to its upstream and the response back.
 func (f *limitFleet) send(h *limitedHost, choice placer.Choice) {
 	oneWay := time.Millisecond
-	if choice.Region != regions[h.zone] {
+	if choice.Region != h.Zone.Region {
 		oneWay = interRegionRoundTrip / 2
 	}
 	name := choice.Upstream.Name
@@ -222,6 +228,17 @@
 	return most
 }
 
+// meanArrivals returns the requests a second that an upstream got from one second to another.
+func (f *limitFleet) meanArrivals(name core.UpstreamName, from, to float64) float64 {
+	n := 0
+	for _, a := range f.arrivals[name] {
+		if !a.at.Before(at(from)) && a.at.Before(at(to)) {
+			n++
+		}
+	}
+	return float64(n) / (to - from)
+}
+
 // isFromToldHost reports whether the host that sent a request had been told the limit.
 func isFromToldHost(a arrival) bool {
 	return !a.toldAt.IsZero() && a.at.Sub(a.toldAt) >= toldFor
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -29,6 +29,7 @@
 package placer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -110,8 +111,13 @@
 	Exclude []core.UpstreamName
 }
 
+// allowsRegion reports whether upstreams of the region may get the request.
+func (q *Query) allowsRegion(region core.RegionName) bool {
+	return len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, region)
+}
+
 // Choice is the upstream selected for one attempt. If none was selected, only IsThrottled
-// is meaningful.
+// and Room are meaningful.
 type Choice struct {
 	Upstream core.Upstream
 	Region   core.RegionName
@@ -121,8 +127,13 @@
 	QueueTime time.Duration
 
 	// IsThrottled reports, when no upstream was selected, that only the limits of
-	// cold upstreams prevented it, so that another call of Choose may soon succeed.
+	// cold upstreams or rate limits prevented it, so that another call of Choose may soon
+	// succeed.
 	IsThrottled bool
+	// Room is set if rate limits prevented the selection.
+	Room *Room
+	// IsMoved reports that the attempt goes to another upstream because of a rate limit.
+	IsMoved bool
 
 	// Limit is the rate limit of the upstream that was known when it was selected.
 	Limit KnownLimit
@@ -130,6 +141,8 @@
 	key      uint64
 	isQueued bool
 	chosenAt time.Time
+	// lastSent is the time of the attempt at the upstream before this one.
+	lastSent time.Time
 }
 
 // SetPolicy replaces the routing policy.
@@ -155,7 +168,8 @@
 	p.adjustPlan(s, now)
 	candidates := p.findCandidates(s, query, key, now)
 	if len(candidates.list) == 0 {
-		return Choice{}, false
+		room := p.room(s, query, now)
+		return Choice{IsThrottled: room != nil && room.Rate > 0, Room: room}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
@@ -172,18 +186,24 @@
 			continue
 		}
 		p.spillover.record(c.isSpillover && !c.hasServedKey, now)
-		p.migrations.record(!c.hasServedKey && candidates.anyServedKey(), now)
+		p.migrations.record(!c.hasServedKey && c.replaces == nil && candidates.anyServedKey(), now)
+		lastSent := u.lastSentAt
 		u.startAttempt(key, now)
 		u.limitUse.add(isRepeat)
+		if c.replaces != nil {
+			c.replaces.limitUse.moved++
+		}
 		return Choice{
 			Upstream:  u.Upstream,
 			Region:    u.region,
 			RoundTrip: p.roundTrip(u.region),
 			QueueTime: c.queueTime,
+			IsMoved:   c.replaces != nil,
 			Limit:     u.limit,
 			key:       key,
 			isQueued:  c.queueTime > 0,
 			chosenAt:  now,
+			lastSent:  lastSent,
 		}, true
 	}
 	return Choice{IsThrottled: true}, false
@@ -241,8 +261,13 @@
 func (p *Placer) Release(choice Choice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u := p.upstreams[choice.Upstream.Name]; u != nil {
-		u.finishAttempt()
+	u := p.upstreams[choice.Upstream.Name]
+	if u == nil {
+		return
+	}
+	u.finishAttempt()
+	if u.lastSentAt.Equal(choice.chosenAt) {
+		u.lastSentAt = choice.lastSent
 	}
 }
 
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -41,7 +41,7 @@
 // with the other hosts.
 func newPlacer(zone core.ZoneName, list []core.Upstream, others ...core.HostName) *placer.Placer {
 	pacing := &pacer.Pacer{Self: "self", RateMultiplier: 1.5, Burst: 5}
-	pacing.SetHosts(append(others, "self"))
+	pacing.SetHosts(namedHosts(append(others, "self")...))
 	p := &placer.Placer{Zone: core.Zone{Name: zone, Region: regions[zone]}, RegionByZone: regions, Pacer: pacing}
 	policy := core.ServicePolicy{Name: service, WarmUp: warmUp, WarmUpRate: 17}
 	p.SetPolicy(core.NewRoutingPolicy(1, nil, []core.ServicePolicy{policy}, core.ClientLimits{}))
@@ -49,6 +49,15 @@
 	return p
 }
 
+// namedHosts returns hosts with the given names.
+func namedHosts(names ...core.HostName) []core.Host {
+	hosts := make([]core.Host, len(names))
+	for i, name := range names {
+		hosts[i] = core.Host{Name: name}
+	}
+	return hosts
+}
+
 func query(key string) placer.Query {
 	return placer.Query{Service: service, Key: key, HasAffinity: true}
 }
@@ -241,7 +250,7 @@
 	is := is.New(t)
 	list := upstreamsIn(1, "for-a")
 	pacing := &pacer.Pacer{Self: "self", RateMultiplier: 1.5, Burst: 5}
-	pacing.SetHosts([]core.HostName{"self", "other"})
+	pacing.SetHosts(namedHosts("self", "other"))
 	p := &placer.Placer{Zone: core.Zone{Name: "for-a", Region: "for"}, RegionByZone: regions, Pacer: pacing, AssumeCold: true}
 	p.SetUpstreams(list, start)
 	policy := core.ServicePolicy{Name: service, WarmUp: warmUp, WarmUpRate: 17}
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -52,12 +52,6 @@
 	localUtilization, remoteUtilization float64
 }
 
-// unitInterval maps a hash to the range from 0 to 1.
-func unitInterval(hash uint64) float64 {
-	const mantissaBits = 53
-	return float64(hash>>(64-mantissaBits)) / (1 << mantissaBits)
-}
-
 // Salts that derive independent hashes from one key.
 const (
 	saltLocal  = 0x5bd1e9955bd1e995
@@ -92,7 +86,7 @@
 			local = r
 			continue
 		}
-		remote = append(remote, scored{r, rendezvousScore(core.CombineHashes(key, saltRegion), r.hash, float64(r.slots))})
+		remote = append(remote, scored{r, core.RendezvousScore(core.CombineHashes(key, saltRegion), r.hash, float64(r.slots))})
 	}
 	slices.SortFunc(remote, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	order := make([]*region, 0, len(regions))
@@ -103,7 +97,7 @@
 		return order
 	}
 	at := 0
-	if isLocal := unitInterval(core.CombineHashes(key, saltLocal)) < p.localShare; !isLocal {
+	if isLocal := core.UnitInterval(core.CombineHashes(key, saltLocal)) < p.localShare; !isLocal {
 		at = min(1, len(order))
 	}
 	return slices.Insert(order, at, local)
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
@@ -158,10 +157,3 @@
 	}
 	p.roundTrips[choice.Region] = current + time.Duration(averageWeight*float64(min(dial, 2*current)-current))
 }
-
-// rendezvousScore returns the score of a weighted candidate for a key in
-// rendezvous hashing. The candidate is given by the hash of its name.
-func rendezvousScore(key, name uint64, weight float64) float64 {
-	const smallest = 1e-18 // keeps the logarithm finite
-	return -weight / math.Log(max(unitInterval(core.CombineHashes(key, name)), smallest))
-}
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -47,13 +47,12 @@
 	// lastThrottled is when the warm-up limit last kept a request from the upstream.
 	lastThrottled time.Time
 
-	limit    KnownLimit
-	limitUse limitUse
-
 	inFlight int
 	usage    decayingCounter
 	// sentAt holds the send times of the requests of the last second, oldest first.
 	sentAt []time.Time
+	// lastSentAt is the time of the last request; zero before the first.
+	lastSentAt time.Time
 	// externalLoad is the number of requests that the upstream reported at
 	// reportedAt, without those that this host had in flight.
 	externalLoad float64
@@ -68,6 +67,8 @@
 	// after a successful attempt.
 	ejectedUntil time.Time
 	ejectionTime time.Duration
+	limit        KnownLimit
+	limitUse     limitUse
 
 	// servedKeys holds the hashes of keys that this host sent to the upstream.
 	servedKeys map[uint64]struct{}
@@ -100,6 +101,7 @@
 	u.servedKeys[key] = struct{}{}
 	u.usage.increment(now)
 	u.sentAt = append(u.sentAt, now)
+	u.lastSentAt = now
 }
 
 // sentLastSecond returns the number of requests sent in the last second and
--- a/core/roster/registration_test.go
+++ b/core/roster/registration_test.go
@@ -35,7 +35,7 @@
 	is.Equal(expired, []core.Host{crashed}) // exactly one of the two removes it
 	// A silent host that is still registered does not count for shared limits.
 	first.SetRegistrations(registered, now)
-	is.Equal(first.SharingHosts(now), []core.HostName{"self", "alive"})
+	is.Equal(names(first.SharingHosts(now)), []core.HostName{"self", "alive"})
 	// The registration of a later incarnation of the same host is not removed.
 	crashed.Incarnation = 2
 	first.SetRegistrations([]core.Host{self, crashed, alive}, now)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -256,16 +256,10 @@
 	return peers
 }
 
-// SharingHosts returns the names of all hosts that shared limits are divided over: this
-// one and every other one that may be alive.
-func (r *Roster) SharingHosts(now time.Time) []core.HostName {
-	peers := r.Peers(now)
-	names := make([]core.HostName, 0, len(peers)+1)
-	names = append(names, r.Self.Name)
-	for _, p := range peers {
-		names = append(names, p.Name)
-	}
-	return names
+// SharingHosts returns all hosts that shared limits are divided over: this one and every
+// other one that may be alive.
+func (r *Roster) SharingHosts(now time.Time) []core.Host {
+	return append([]core.Host{r.Self}, r.Peers(now)...)
 }
 
 // PeerWithNewerCopy returns the live host with the newest copy of the store. It returns false
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -113,8 +113,8 @@
 	is := is.New(t)
 	r := newRoster()
 	r.RecordHeartbeat(roster.Heartbeat{Host: host("silent", "nat-a", "nat", 1), Ready: true}, start)
-	is.Equal(r.SharingHosts(start.Add(10*time.Second)), []core.HostName{"self", "silent"})
-	is.Equal(r.SharingHosts(start.Add(time.Minute)), []core.HostName{"self"})
+	is.Equal(names(r.SharingHosts(start.Add(10*time.Second))), []core.HostName{"self", "silent"})
+	is.Equal(names(r.SharingHosts(start.Add(time.Minute))), []core.HostName{"self"})
 }
 
 // TestNewer checks that the live host with the newest copy of the store is returned,
@@ -212,3 +212,12 @@
 	is.Equal(len(r.Resolve(ask, start.Add(2*interval+interval/2))), named)
 	is.Equal(r.Resolve(ask, start.Add(maxSilence+time.Millisecond)), []string{"host-0"})
 }
+
+// names returns the names of hosts.
+func names(hosts []core.Host) []core.HostName {
+	list := make([]core.HostName, len(hosts))
+	for i, h := range hosts {
+		list[i] = h.Name
+	}
+	return list
+}
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -34,7 +34,8 @@
 			c.Log.Event(logger.UpstreamLimitUsed).
 				Str("upstream", string(use.Upstream.Name)).Float64("limit", float64(use.Limit.Rate)).
 				Dur("age", now.Sub(use.Limit.HeardAt)).Str("heard-by", string(use.Limit.HeardBy)).
-				Int64("hosts", c.sharingHosts.Load()).Int("sent", use.Sent).Int("repeats", use.Repeats).Send()
+				Int64("hosts", c.sharingHosts.Load()).Dur("interval", use.Interval).
+				Int("sent", use.Sent).Int("repeats", use.Repeats).Int("moved", use.Moved).Send()
 		}
 	})
 }
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -66,6 +66,9 @@
 	if e.Attempt.IsLimited {
 		c.Meter.Count(meter.LimitedAttempts, meter.Labels{Service: labels.Service, Zone: labels.Zone, Cause: attemptCause(e.Attempt.IsRepeat)})
 	}
+	if e.Attempt.IsMoved {
+		c.Meter.Count(meter.LimitedMoves, meter.Labels{Service: labels.Service, Zone: labels.Zone})
+	}
 	labels.Outcome = e.Attempt.Outcome.String()
 	c.Meter.Count(meter.Attempts, labels)
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -84,9 +84,10 @@
 	// ResponseTime is the time from sending the request to its response. QueueTime is an
 	// estimate: the time for which the attempt was expected to queue at the upstream.
 	ResponseTime, QueueTime time.Duration
-	// IsLimited says that the upstream had a rate limit that the host knew, and IsRepeat that
-	// the attempt followed another one of the same request.
-	IsLimited, IsRepeat bool
+	// IsLimited says that the upstream had a rate limit that the host knew, IsMoved that the
+	// rate limit of another upstream sent the attempt to this one, and IsRepeat that the
+	// attempt followed another one of the same request.
+	IsLimited, IsMoved, IsRepeat bool
 }
 
 // Forwarder is an HTTP server that forwards client requests to upstreams.
@@ -119,6 +120,8 @@
 
 	policy     atomic.Pointer[core.RoutingPolicy]
 	splitter   splitter
+	held       heldRequests
+	returns    returnSchedule
 	inFlight   atomic.Int64
 	bodyBytes  atomic.Int64
 	isDraining atomic.Bool
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -116,6 +116,7 @@
 	// lastFailure is the last event that was passed to OnFailure.
 	lastFailure atomic.Pointer[forwarder.Event]
 	placer      *placer.Placer
+	pacer       *pacer.Pacer
 	// isNotReady says that the host lacks state that it needs to serve.
 	isNotReady atomic.Bool
 }
@@ -127,7 +128,7 @@
 		list = append(list, u.start(t, "desk-"+strconv.Itoa(i)))
 	}
 	pacing := &pacer.Pacer{Self: "self", Burst: 20}
-	pacing.SetHosts([]core.HostName{"self"})
+	pacing.SetHosts([]core.Host{{Name: "self"}})
 	place := &placer.Placer{
 		Zone:         core.Zone{Name: "for-a", Region: "for"},
 		RegionByZone: map[core.ZoneName]core.RegionName{"for-a": "for"},
@@ -136,7 +137,7 @@
 	place.SetUpstreams(list, time.Now())
 	retries := &retrier.Budget{Window: 10 * time.Second, Ratio: 0.2, Allowance: 10}
 	retries.SetHosts(1)
-	h := &testHost{done: make(chan error, 1), placer: place}
+	h := &testHost{done: make(chan error, 1), placer: place, pacer: pacing}
 	h.Forwarder = &forwarder.Forwarder{
 		HeaderNames: forwarder.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", AffinityKey: "Key"},
 		Placer:      place,
@@ -144,6 +145,7 @@
 		Exchanger: &exchanger.Exchanger{
 			HeaderNames: exchanger.HeaderNames{
 				RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target", Load: "Load", NotRun: "Not-Run", RemainingWarmUp: "Cold",
+				RateLimit: "Rate-Limit",
 			},
 			Dial:            caller.NewDialer(time.Second),
 			MaxResponseBody: core.Mebibyte,
--- a/entry/forwarder/hold.go
+++ b/entry/forwarder/hold.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,18 +49,100 @@
 }
 
 // awaitUpstream chooses the upstream for an attempt. If only the rate limits of
-// cold upstreams prevent a choice, it waits and tries again, since those permit
-// another request within fractions of a second.
+// upstreams prevent a choice, it waits and tries again, since those permit another
+// request within fractions of a second. It does not wait if the requests that already
+// wait will use what the limits permit until the deadline.
 func (r *requestState) awaitUpstream(ctx context.Context, query placer.Query) (placer.Choice, bool) {
+	isHeld := false
+	defer func() {
+		if isHeld {
+			r.forwarder.held.leave(r.service)
+		}
+	}()
 	for {
 		now := time.Now()
 		choice, ok := r.forwarder.Placer.Choose(query, now)
 		if ok || !choice.IsThrottled || !now.Before(r.holdDeadline) {
 			return choice, ok
 		}
-		waiter.Sleep(ctx, holdPollInterval)
+		wait := holdPollInterval
+		if choice.Room != nil {
+			if !isHeld && now.Add(choice.Room.Wait(r.forwarder.held.count(r.service))).After(r.holdDeadline) {
+				return choice, false
+			}
+			wait = max(wait, choice.Room.OpensIn)
+		}
+		if !isHeld {
+			isHeld = true
+			r.forwarder.held.enter(r.service)
+		}
+		waiter.Sleep(ctx, min(wait, r.holdDeadline.Sub(now)))
 		if ctx.Err() != nil {
 			return choice, false
 		}
 	}
 }
+
+// heldRequests counts the requests that are held, by service.
+type heldRequests struct {
+	mu     sync.Mutex
+	counts map[core.ServiceName]int
+}
+
+func (h *heldRequests) enter(service core.ServiceName) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.counts == nil {
+		h.counts = map[core.ServiceName]int{}
+	}
+	h.counts[service]++
+}
+
+func (h *heldRequests) leave(service core.ServiceName) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.counts[service]--; h.counts[service] <= 0 {
+		delete(h.counts, service)
+	}
+}
+
+func (h *heldRequests) count(service core.ServiceName) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts[service]
+}
+
+// maxScheduledReturn is the longest Retry-After time of a request that rate limits of
+// upstreams prevented.
+const maxScheduledReturn = 5 * time.Second
+
+// returnSchedule assigns the times at which refused clients come back, so that they
+// return at the rate at which upstreams take requests, in the order of their refusal.
+type returnSchedule struct {
+	mu sync.Mutex
+	// next is the time of the next free return, by service.
+	next map[core.ServiceName]time.Time
+}
+
+// assign returns the Retry-After time of one client whose request rate limits prevented
+// while a number of others wait. Beyond maxScheduledReturn, and if this host may send
+// none, it spreads the clients at random.
+func (s *returnSchedule) assign(service core.ServiceName, room placer.Room, others int, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if room.Rate <= 0 {
+		return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) //nolint:gosec // Not used for security.
+	}
+	at := now.Add(max(room.Wait(others), minRetryAfter))
+	if next := s.next[service]; next.After(at) {
+		at = next
+	}
+	if at.Sub(now) > maxScheduledReturn {
+		return maxRetryAfter + rand.N(maxScheduledReturn-maxRetryAfter) //nolint:gosec // Not used for security.
+	}
+	if s.next == nil {
+		s.next = map[core.ServiceName]time.Time{}
+	}
+	s.next[service] = at.Add(time.Duration(float64(time.Second) / float64(room.Rate)))
+	return at.Sub(now)
+}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,6 +61,8 @@
 	delivered int
 	// queueWait is the expected queueing time at the upstream chosen last.
 	queueWait time.Duration
+	// room is what rate limits left for the last attempt if they prevented it, otherwise nil.
+	room *placer.Room
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -142,6 +145,7 @@
 	}
 	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
+	r.room = choice.Room
 	if !ok {
 		r.event.Detail = "no upstream is available"
 		return choice, false
@@ -209,6 +213,7 @@
 		ResponseTime: report.ResponseTime,
 		QueueTime:    choice.QueueTime,
 		IsLimited:    choice.Limit.InForce,
+		IsMoved:      choice.IsMoved,
 		IsRepeat:     len(r.tried) > 1,
 	}
 	notify(r.forwarder.OnAttempt, event)
@@ -324,9 +329,23 @@
 		notify(r.forwarder.OnFailure, r.event)
 		return
 	}
+	if r.room != nil {
+		r.refuseByLimit(time.Now())
+		return
+	}
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-room", min(max(r.queueWait/2, minRetryAfter), maxRetryAfter))
 }
 
+// refuseByLimit responds to a request that the rate limits of all upstreams prevent.
+func (r *requestState) refuseByLimit(now time.Time) {
+	held := r.forwarder.held.count(r.service)
+	r.event.Detail = fmt.Sprintf(
+		"all upstreams are at their rate limits: this host may send %.3g requests a second, the next in %d ms, and holds %d",
+		float64(r.room.Rate), r.room.OpensIn.Milliseconds(), held)
+	retryAfter := r.forwarder.returns.assign(r.service, *r.room, held, now)
+	r.forwarder.respondUnavailable(r.requestCtx, r.event, "rate-limit", retryAfter)
+}
+
 // abandon ends a request whose client has disconnected.
 func (r *requestState) abandon() {
 	r.event.Cause = "client-left"
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -48,6 +48,9 @@
 	// LimitedAttempts counts attempts at upstreams that had named a rate limit, by service,
 	// zone and cause: "first" or "repeat".
 	LimitedAttempts Metric = "limited_attempts"
+	// LimitedMoves counts attempts that a rate limit sent to another upstream, by service and
+	// the zone of that other upstream.
+	LimitedMoves Metric = "limited_moves"
 	// Retries counts retries by service.
 	Retries Metric = "retries"
 	// StoreCalls counts calls to the platform's store by kind of call.
