Keep heartbeats within a datagram when many upstreams are cold

A host that found more than about 60 upstreams cold, as after the end of an evacuation in a large zone, sent heartbeats of more than the 1,400 bytes that receivers read. They rejected them and took the host for dead.

A heartbeat now tells of at most 32 cold upstreams, those first of which others were told least recently, so a new one is always among them and all have their turn.

TestHeartbeatWithManyColdUpstreams failed before: 200 cold upstreams.

--- a/entry/controller/check.go
+++ b/entry/controller/check.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,39 +37,60 @@
 	checkTimeRetention = time.Minute
 )
 
-// coldUpstreams holds the upstreams that this host found cold, and until when they
-// stay cold.
+// maxWarmUpsInHeartbeat limits the upstreams in one heartbeat, at about 20 bytes each, so
+// that the heartbeat fits in a datagram.
+const maxWarmUpsInHeartbeat = 32
+
+// coldUpstreams holds the upstreams that this host found cold.
 type coldUpstreams struct {
-	mu    sync.Mutex
-	until map[core.UpstreamName]time.Time
+	mu   sync.Mutex
+	list map[core.UpstreamName]*coldEntry
+	// round counts the calls of remaining.
+	round int
+}
+
+// coldEntry says until when an upstream stays cold. toldIn is the last round in which
+// other hosts were told of it; 0 means that they were not.
+type coldEntry struct {
+	until  time.Time
+	toldIn int
 }
 
 // add adds an upstream and reports whether it was not already known to be cold.
 func (c *coldUpstreams) add(name core.UpstreamName, until, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.until == nil {
-		c.until = map[core.UpstreamName]time.Time{}
+	if c.list == nil {
+		c.list = map[core.UpstreamName]*coldEntry{}
+	}
+	u := c.list[name]
+	isNew := u == nil || !now.Before(u.until)
+	if isNew {
+		u = &coldEntry{}
+		c.list[name] = u
 	}
-	isNew := !now.Before(c.until[name])
-	c.until[name] = until
+	u.until = until
 	return isNew
 }
 
-// remaining returns for how many milliseconds each upstream stays cold.
+// remaining returns for how many milliseconds upstreams stay cold: all of them, or those
+// that other hosts were told of least recently, maxWarmUpsInHeartbeat at the most.
 func (c *coldUpstreams) remaining(now time.Time) map[core.UpstreamName]uint32 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var remaining map[core.UpstreamName]uint32
-	for name, until := range c.until {
-		if !now.Before(until) {
-			delete(c.until, name)
-			continue
-		}
-		if remaining == nil {
-			remaining = map[core.UpstreamName]uint32{}
-		}
-		remaining[name] = uint32(until.Sub(now).Milliseconds())
+	maps.DeleteFunc(c.list, func(_ core.UpstreamName, u *coldEntry) bool { return !now.Before(u.until) })
+	if len(c.list) == 0 {
+		return nil
+	}
+	c.round++
+	names := slices.SortedFunc(maps.Keys(c.list), func(a, b core.UpstreamName) int {
+		return cmp.Or(cmp.Compare(c.list[a].toldIn, c.list[b].toldIn), cmp.Compare(a, b))
+	})
+	names = names[:min(len(names), maxWarmUpsInHeartbeat)]
+	remaining := make(map[core.UpstreamName]uint32, len(names))
+	for _, name := range names {
+		c.list[name].toldIn = c.round
+		remaining[name] = uint32(c.list[name].until.Sub(now).Milliseconds())
 	}
 	return remaining
 }
--- a/entry/controller/check_test.go
+++ b/entry/controller/check_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
@@ -98,6 +100,36 @@
 	is.True(sent <= 3)
 }
 
+// TestHeartbeatWithManyColdUpstreams guards against a heartbeat that exceeds the size of a
+// datagram that receivers read, because a host found many upstreams cold, as after the end
+// of an evacuation. Its peers would take the host for dead. Every upstream must still be
+// told within some heartbeats.
+func TestHeartbeatWithManyColdUpstreams(t *testing.T) {
+	is := is.New(t)
+	const upstreams, maxBytes = 200, 1400
+	c := newController("host-1")
+	c.Self.ClientAddress = "10.128.100.100:8548"
+	now := time.Now()
+	for i := range upstreams {
+		c.coldUpstreams.add(core.UpstreamName(fmt.Sprintf("i-%010d", i)), now.Add(time.Minute), now)
+	}
+	told := map[core.UpstreamName]bool{}
+	for range 10 {
+		heartbeat := c.newHeartbeat()
+		heartbeat.RateLimits = map[core.UpstreamName]core.RateLimitNotice{}
+		for i := range 16 {
+			heartbeat.RateLimits[core.UpstreamName(fmt.Sprintf("i-%010d", i))] = core.NewRateLimitNotice(8.6, true, 40*time.Second)
+		}
+		data, err := cbor.Marshal(heartbeat)
+		is.NoErr(err)
+		is.True(len(data) <= maxBytes)
+		for name := range heartbeat.RemainingWarmUps {
+			told[name] = true
+		}
+	}
+	is.Equal(len(told), upstreams)
+}
+
 // TestOneHostChecksUpstream checks that exactly one of the hosts that are live to
 // each other checks an upstream, and that another host does so when it is gone.
 func TestOneHostChecksUpstream(t *testing.T) {
