--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -297,3 +297,36 @@
 		})
 	}
 }
+
+// TestLimitWhileHostsAreReplaced guards against shares that grow before the shares of others
+// shrink: hosts that are new use theirs at once, and the others hear of them later.
+func TestLimitWhileHostsAreReplaced(t *testing.T) {
+	tests := []struct {
+		name       string
+		deployment deployment
+		rate       core.RequestRate
+		count      int
+	}{
+		{"few hosts", smallDeployment, 8.6, 3},
+		{"few hosts, a limit below their number", smallDeployment, 2, 3},
+		{"many hosts", largeDeployment, 1.5, 40},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newLimitFleet(tt.deployment)
+			f.exchangesNotices = true
+			f.limit(0, tt.rate)
+			f.limit(7, tt.rate)
+			for _, second := range []float64{9, 13, 17} {
+				f.replace(tt.count, second)
+			}
+			f.run(limitedUntil)
+			f.checkLimits(t)
+			for _, i := range []int{0, 7} {
+				if got, allowed := f.mostArrivals(f.list[i].Name, isFromAnyHost), maxArrivals(tt.rate); got > allowed {
+					t.Errorf("%s got %d requests in %v of all hosts; allowed %d", f.list[i].Name, got, limitWindow, allowed)
+				}
+			}
+		})
+	}
+}
--- a/core/placer/limitfleet_test.go
+++ b/core/placer/limitfleet_test.go
@@ -154,6 +154,33 @@
 	}
 }
 
+// replace takes a number of hosts out of service at the given second and adds as many new
+// ones. The others hear of each new host within a second, and count those that left for
+// longer than the simulation runs.
+func (f *limitFleet) replace(count int, second float64) {
+	f.schedule(at(second).Sub(f.now), func() {
+		var peers []core.Host
+		for _, h := range f.hosts {
+			peers = append(peers, h.Host)
+		}
+		var added []*limitedHost
+		for i := range count {
+			self := f.hosts[i].Host
+			self.Name = core.HostName(fmt.Sprint("added-", len(peers)))
+			peers = append(peers, self)
+			added = append(added, f.newHost(self, peers))
+		}
+		for _, h := range f.hosts {
+			f.schedule(time.Duration(f.random.Int64N(int64(time.Second))), func() { h.pacer.SetHosts(peers) })
+		}
+		for _, h := range added {
+			h.pacer.SetHosts(peers)
+			f.sendNotices(h)
+		}
+		f.hosts = append(f.hosts[count:], added...)
+	})
+}
+
 // noticeInterval is the time between two heartbeats with notices of one host.
 const noticeInterval = 500 * time.Millisecond
 
