Show the rate limit in the lines of a request and in its explanation

Lines of retries, refusals and errors of upstreams name the limit of the last upstream, its age, the host that told of it and the interval of this host's share. endiverun explain shows the latest limit of each upstream that a host knew when the request arrived; before, a state event replaced every earlier one of its kind, so one upstream would have hidden the others.

--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -102,9 +102,9 @@
 		if !u.limit.InForce || use == (limitUse{}) {
 			continue
 		}
-		interval, _ := p.Pacer.Interval(u.Name, u.region, u.limit.Rate)
 		list = append(list, LimitUse{
-			Upstream: u.Upstream, Limit: u.limit, Interval: interval, Sent: use.sent, Repeats: use.repeats, Moved: use.moved,
+			Upstream: u.Upstream, Limit: u.limit, Interval: p.limitInterval(u),
+			Sent: use.sent, Repeats: use.repeats, Moved: use.moved,
 		})
 	}
 	return list
@@ -119,6 +119,16 @@
 	return ok && now.Sub(u.lastSentAt) >= interval
 }
 
+// limitInterval returns the shortest time between two attempts of this host that the rate
+// limit of the upstream allows, 0 if there is no limit.
+func (p *Placer) limitInterval(u *upstream) time.Duration {
+	if !u.limit.InForce {
+		return 0
+	}
+	interval, _ := p.Pacer.Interval(u.Name, u.region, u.limit.Rate)
+	return interval
+}
+
 // Room is what the rate limits of upstreams leave to this host.
 type Room struct {
 	// OpensIn is the time until the first upstream may get an attempt.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -137,8 +137,10 @@
 	// IsMoved reports that the attempt goes to another upstream because of a rate limit.
 	IsMoved bool
 
-	// Limit is the rate limit of the upstream that was known when it was selected.
-	Limit KnownLimit
+	// Limit is the rate limit of the upstream that was known when it was selected, and
+	// LimitInterval the shortest time between two attempts of this host that it allows.
+	Limit         KnownLimit
+	LimitInterval time.Duration
 
 	key      uint64
 	isQueued bool
@@ -189,7 +191,7 @@
 		}
 		p.spillover.record(c.isSpillover && !c.hasServedKey, now)
 		p.migrations.record(!c.hasServedKey && c.replaces == nil && candidates.anyServedKey(), now)
-		lastSent := u.lastSentAt
+		lastSent, interval := u.lastSentAt, p.limitInterval(u)
 		u.startAttempt(key, now)
 		u.limitUse.add(isRepeat)
 		if c.replaces != nil {
@@ -201,11 +203,14 @@
 			RoundTrip: p.roundTrip(u.region),
 			QueueTime: c.queueTime,
 			IsMoved:   c.replaces != nil,
-			Limit:     u.limit,
-			key:       key,
-			isQueued:  c.queueTime > 0,
-			chosenAt:  now,
-			lastSent:  lastSent,
+
+			Limit:         u.limit,
+			LimitInterval: interval,
+
+			key:      key,
+			isQueued: c.queueTime > 0,
+			chosenAt: now,
+			lastSent: lastSent,
 		}, true
 	}
 	return Choice{IsThrottled: true}, false
--- a/entry/controller/limits_test.go
+++ b/entry/controller/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/roster"
+	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/logger"
 )
 
@@ -80,3 +81,19 @@
 	is.Equal(strings.Count(log.String(), `"name":"upstream-limited"`), 1)
 	is.True(strings.Contains(log.String(), `"source":"host-2"`))
 }
+
+// TestLinesNameTheLimit guards against a failed request of which the log does not tell the
+// rate limit that decided it.
+func TestLinesNameTheLimit(t *testing.T) {
+	is := is.New(t)
+	c := newController("host-1")
+	var log strings.Builder
+	c.Log = logger.New(&log, "info", core.Host{Name: "host-1"})
+	limit := placer.KnownLimit{InForce: true, Rate: 8.6, HeardAt: time.Now(), Source: "host-2"}
+	c.recordFailure(forwarder.Event{RequestID: "q-1", Limit: limit, LimitInterval: 1500 * time.Millisecond})
+	is.True(strings.Contains(log.String(), `"limit":8.6,"limit-age":`))
+	is.True(strings.Contains(log.String(), `"limit-source":"host-2","limit-interval":1500`))
+	log.Reset()
+	c.recordFailure(forwarder.Event{RequestID: "q-2"})
+	is.True(!strings.Contains(log.String(), "limit"))
+}
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/meter"
@@ -63,7 +65,7 @@
 	if e.Attempt.QueueTime > 0 {
 		c.Meter.Observe(meter.QueueTime, labels, e.Attempt.QueueTime)
 	}
-	if e.Attempt.IsLimited {
+	if e.Limit.InForce {
 		c.Meter.Count(meter.LimitedAttempts, meter.Labels{Service: labels.Service, Zone: labels.Zone, Cause: attemptCause(e.Attempt.IsRepeat)})
 	}
 	if e.Attempt.IsMoved {
@@ -97,7 +99,7 @@
 	e.Cause = ""
 	c.countRequest(e)
 	if e.Status >= http.StatusInternalServerError {
-		c.Log.Event(logger.UpstreamFailed).
+		addLimit(c.Log.Event(logger.UpstreamFailed), e).
 			Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
 			Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 			Dur("took", e.Duration).Send()
@@ -107,7 +109,7 @@
 // recordRetry counts and logs a retry.
 func (c *Controller) recordRetry(e forwarder.Event) {
 	c.Meter.Count(meter.Retries, meter.Labels{Service: string(e.Service)})
-	c.Log.Event(logger.RequestRetried).
+	addLimit(c.Log.Event(logger.RequestRetried), e).
 		Str("request", e.RequestID).Str("service", string(e.Service)).
 		Uint64("policy", e.PolicyVersion).Str("cause", e.Cause).Send()
 }
@@ -116,8 +118,18 @@
 // an upstream.
 func (c *Controller) recordFailure(e forwarder.Event) {
 	c.countRequest(e)
-	c.Log.Event(logger.RequestRefused).
+	addLimit(c.Log.Event(logger.RequestRefused), e).
 		Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
 		Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Duration).Send()
 }
+
+// addLimit adds the rate limit of the last upstream of a request to a line, if it has one:
+// the limit, its age, the host that told of it, and the interval of this host's share.
+func addLimit(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
+	if !e.Limit.InForce {
+		return line
+	}
+	return line.Float64("limit", float64(e.Limit.Rate)).Dur("limit-age", time.Since(e.Limit.HeardAt)).
+		Str("limit-source", string(e.Limit.Source)).Dur("limit-interval", e.LimitInterval)
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -68,6 +68,10 @@
 	// retry it is the upstream and the error of its attempt. Detail has more about it.
 	Cause  string
 	Detail string
+	// Limit is the rate limit of Upstream that was known when it was selected, and
+	// LimitInterval the shortest time between two attempts of this host that it allows.
+	Limit         placer.KnownLimit
+	LimitInterval time.Duration
 	// Status is the HTTP status code sent to the client.
 	Status int
 	// Duration is the time since the request arrived.
@@ -84,10 +88,9 @@
 	// ResponseTime is the time from sending the request to its response. QueueTime is an
 	// estimate: the time for which the attempt was expected to queue at the upstream.
 	ResponseTime, QueueTime time.Duration
-	// IsLimited says that the upstream had a rate limit that the host knew, IsMoved that the
-	// rate limit of another upstream sent the attempt to this one, and IsRepeat that the
-	// attempt followed another one of the same request.
-	IsLimited, IsMoved, IsRepeat bool
+	// IsMoved says that the rate limit of another upstream sent the attempt to this one, and
+	// IsRepeat that the attempt followed another one of the same request.
+	IsMoved, IsRepeat bool
 }
 
 // Forwarder is an HTTP server that forwards client requests to upstreams.
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -182,6 +182,7 @@
 func (r *requestState) sendAttempt(ctx context.Context, choice placer.Choice) exchanger.Result {
 	r.tried = append(r.tried, choice.Upstream.Name)
 	r.event.Upstream = choice.Upstream.Name
+	r.event.Limit, r.event.LimitInterval = choice.Limit, choice.LimitInterval
 	span := r.forwarder.Tracer.Start(r.span.Traceparent(), "entry.attempt")
 	span.SetAttribute("upstream", string(choice.Upstream.Name))
 	result := r.forwarder.Exchanger.Do(ctx, exchanger.Attempt{
@@ -212,7 +213,6 @@
 		Outcome:      report.Outcome,
 		ResponseTime: report.ResponseTime,
 		QueueTime:    choice.QueueTime,
-		IsLimited:    choice.Limit.InForce,
 		IsMoved:      choice.IsMoved,
 		IsRepeat:     len(r.tried) > 1,
 	}
--- a/operator/explainer/explainer.go
+++ b/operator/explainer/explainer.go
@@ -28,14 +28,18 @@
 
 // stateEvents names the events that report a change of a host's state: its phase,
 // its routing policy, its lists of evacuated zones and of upstreams, its access to
-// the platform's store, and its cold upstreams.
+// the platform's store, its cold upstreams, and the rate limits of upstreams.
 var stateEvents = []string{
 	"host-started", "host-ready", "host-leaving",
 	"policy-applied", "evacuations-applied", "upstreams-applied",
 	"platform-lost", "platform-found", "reader-followed", "store-read",
-	"upstream-cold",
+	"upstream-cold", limitEvent,
 }
 
+// limitEvent names the event of the rate limit of an upstream. The state of a host has the
+// latest one of each upstream.
+const limitEvent = "upstream-limited"
+
 // commonFields names the fields that every event has. They are not repeated in
 // Event.Fields.
 var commonFields = []string{"level", "host", "incarnation", "event", "name", "time", "request"}
@@ -82,13 +86,13 @@
 		all = append(all, events...)
 	}
 	slices.SortStableFunc(all, func(a, b Event) int { return a.Time.Compare(b.Time) })
-	latest := map[string]map[string]Event{} // By host and event name.
+	latest := map[string]map[string]Event{} // By host and stateKey.
 	for _, event := range all {
 		if event.Request == "" {
 			if latest[event.Host] == nil {
 				latest[event.Host] = map[string]Event{}
 			}
-			latest[event.Host][event.Name] = event
+			latest[event.Host][stateKey(event)] = event
 			continue
 		}
 		if _, isKnown := history.StateEvents[event.Host]; !isKnown {
@@ -99,6 +103,15 @@
 	return history, nil
 }
 
+// stateKey identifies what a state event is about: a later event with the same key
+// replaces it.
+func stateKey(event Event) string {
+	if event.Name != limitEvent {
+		return event.Name
+	}
+	return event.Name + " " + stringField(event.Fields, "upstream")
+}
+
 // stateAt returns the latest state events of a host with their ages at the given
 // time, sorted by time and then by name.
 func stateAt(latest map[string]Event, now time.Time) []StateEvent {
@@ -110,7 +123,7 @@
 		if c := a.Time.Compare(b.Time); c != 0 {
 			return c
 		}
-		return strings.Compare(a.Name, b.Name)
+		return strings.Compare(stateKey(a.Event), stateKey(b.Event))
 	})
 	return list
 }
--- a/operator/explainer/explainer_test.go
+++ b/operator/explainer/explainer_test.go
@@ -43,3 +43,21 @@
 		})
 	}
 }
+
+// TestLimitsOfSeveralUpstreams checks that the rate limit of one upstream does not hide
+// that of another, and that the latest of each is shown.
+func TestLimitsOfSeveralUpstreams(t *testing.T) {
+	is := is.New(t)
+	log := `{"event":512,"name":"upstream-limited","host":"host-1","upstream":"i-1","limit":9,"time":"2026-07-20T04:35:10.000Z"}
+{"event":512,"name":"upstream-limited","host":"host-1","upstream":"i-1","limit":8,"time":"2026-07-20T04:35:11.000Z"}
+{"event":512,"name":"upstream-limited","host":"host-1","upstream":"i-2","limit":2,"time":"2026-07-20T04:35:11.000Z"}
+{"event":504,"name":"request-refused","host":"host-1","request":"q-1","cause":"rate-limit","time":"2026-07-20T04:35:12.000Z"}
+`
+	history, err := explainer.Explain("q-1", []io.Reader{strings.NewReader(log)})
+	is.NoErr(err)
+	is.Equal(len(history.Events), 1)
+	state := history.StateEvents["host-1"]
+	is.Equal(len(state), 2)
+	is.Equal(state[0].Fields, map[string]any{"upstream": "i-1", "limit": 8.0})
+	is.Equal(state[1].Fields, map[string]any{"upstream": "i-2", "limit": 2.0})
+}
