--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -200,34 +200,50 @@
 }
 
 // TestLimitKeepsKeysInTheirRegion guards against a limit that moves the requests of a
-// region to another one although the region has other upstreams.
+// region to another one although the region has other upstreams. The upstreams of the
+// other regions have served the keys before, those of the own region have not.
 func TestLimitKeepsKeysInTheirRegion(t *testing.T) {
 	is := is.New(t)
 	p := newPlacer("slz-a", upstreamsIn(3, "slz-a", "for-a", "nat-a"))
-	key, first := localKey(t, p)
-	choice, ok := p.Choose(query(key), at(1))
+	keys, first := localKeys(t, p)
+	for _, key := range keys {
+		for _, region := range []core.RegionName{"for", "nat"} {
+			q := query(key)
+			q.HomeRegions = []core.RegionName{region}
+			complete(t, p, q, start)
+		}
+	}
+	choice, ok := p.Choose(query(keys[0]), at(5)) // The requests above no longer count.
 	is.True(ok)
 	is.Equal(choice.Upstream.Name, first.Name)
-	p.Report(choice, limited(0.5), at(1))
-	for i := range 5 {
-		moved := complete(t, p, query(key), at(1.1+0.1*float64(i)))
+	p.Report(choice, limited(0.5), at(5))
+	for i, key := range keys {
+		moved := complete(t, p, query(key), at(5.1+0.01*float64(i)))
 		is.True(moved.Name != first.Name)
 		is.Equal(moved.Zone, first.Zone)
 	}
-	is.Equal(complete(t, p, query(key), at(4)).Name, first.Name)
+	is.Equal(complete(t, p, query(keys[0]), at(8)).Name, first.Name)
 }
 
-// localKey returns a key that the placer sends to its own region, and the upstream.
-func localKey(t *testing.T, p *placer.Placer) (string, core.Upstream) {
+// localKeys returns keys that the placer sends to the same upstream of its own region, and
+// the upstream.
+func localKeys(t *testing.T, p *placer.Placer) ([]string, core.Upstream) {
 	t.Helper()
-	for i := range 100 {
+	const enough = 8
+	keys := map[core.UpstreamName][]string{}
+	for i := range 400 {
 		key := fmt.Sprint("key-", i)
-		if u := complete(t, p, query(key), start); regions[u.Zone] == p.Zone.Region {
-			return key, u
+		u := complete(t, p, query(key), start)
+		if regions[u.Zone] != p.Zone.Region {
+			continue
+		}
+		keys[u.Name] = append(keys[u.Name], key)
+		if len(keys[u.Name]) == enough {
+			return keys[u.Name], u
 		}
 	}
-	t.Fatal("no key is planned for the local region")
-	return "", core.Upstream{}
+	t.Fatal("too few keys are planned for the local region")
+	return nil, core.Upstream{}
 }
 
 // TestLimitInHomeRegion guards against a limit that sends a request outside its home
