Lend unused shares in rate limits to hosts that are short

A busy host refused requests although upstreams could take them: where a whole service is at its limits, hosts in quiet regions left their fixed shares unused.

A host that finds no open upstream says in its heartbeats that it needs shares; others then lend what they do not need times 1.4, at most seven tenths.

Notices about limits go to three hosts in place of four, so that heartbeats stay within 9 KB a second with the loans.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -11,6 +11,10 @@
 // selected by rendezvous hashing, send requests to the upstream: a first request of every
 // host would exceed the limit already.
 //
+// While a host is short of shares in named limits, those that use little of theirs lend a
+// part of them to the others (Lender), so that a busy host refuses no request while others
+// leave their shares unused.
+//
 // Nothing is saved: a host that did not use its share may send one request and then
 // keeps the spacing again.
 //
@@ -26,6 +30,7 @@
 package pacer
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -69,8 +74,12 @@
 
 	mu    sync.Mutex
 	hosts []core.Host
-	// shares caches the results of limitShare for the current hosts.
-	shares map[core.UpstreamName]cachedShare
+	// loans holds the fraction of its shares that each host lends to the others now.
+	loans map[core.HostName]float64
+	// senders caches the results of sendersOf for the current hosts, and shares those of
+	// shareOf for the current hosts and loans.
+	senders map[core.UpstreamName][]core.Host
+	shares  map[core.UpstreamName]limitShare
 	// nextAllowed is the earliest time of the next request to each upstream.
 	nextAllowed map[core.UpstreamName]time.Time
 }
@@ -89,7 +98,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !slices.Equal(p.hosts, hosts) {
-		p.hosts, p.shares = hosts, nil
+		p.hosts, p.senders, p.shares = hosts, nil, nil
+	}
+}
+
+// SetLoans sets the fraction, from 0 to 1, of its shares in the limits of upstreams that
+// each host lends to the others, this one included. Hosts that lend nothing are left out.
+func (p *Pacer) SetLoans(loans map[core.HostName]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !maps.Equal(p.loans, loans) {
+		p.loans, p.shares = loans, nil
 	}
 }
 
--- a/core/pacer/share.go
+++ b/core/pacer/share.go
@@ -17,36 +17,59 @@
 func (p *Pacer) Interval(upstream core.UpstreamName, region core.RegionName, limit core.RequestRate) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rate := p.limitShare(upstream, region, limit) * max(float64(limit), minLimit)
+	rate := p.shareOf(upstream, region, limit).now * max(float64(limit), minLimit)
 	if rate == 0 {
 		return 0, false
 	}
 	return time.Duration(min(float64(time.Second)/rate, float64(math.MaxInt64/2))), true
 }
 
-// cachedShare is a result of limitShare for a number of senders.
-type cachedShare struct {
-	senders int
-	share   float64
+// OwnRate returns the requests a second that this host may send to an upstream of the
+// region as long as no host lends any of its share.
+func (p *Pacer) OwnRate(upstream core.UpstreamName, region core.RegionName, limit core.RequestRate) core.RequestRate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return core.RequestRate(p.shareOf(upstream, region, limit).own * float64(limit))
+}
+
+// limitShare is the share of this host in a limit, from 0 to 1: its own, and with what
+// hosts lend one another now.
+type limitShare struct {
+	senders  int
+	own, now float64
 }
 
-// maxCachedShares limits the number of cached shares.
+// maxCachedShares limits the number of cached shares, and of cached senders.
 const maxCachedShares = 4096
 
-// limitShare returns this host's share of a limit, from 0 to 1. The caller holds Pacer.mu.
-func (p *Pacer) limitShare(upstream core.UpstreamName, region core.RegionName, limit core.RequestRate) float64 {
-	senders := min(len(p.hosts), senderCount(limit))
-	if cached, ok := p.shares[upstream]; ok && cached.senders == senders {
-		return cached.share
+// shareOf returns this host's share of a limit. The caller holds Pacer.mu.
+func (p *Pacer) shareOf(upstream core.UpstreamName, region core.RegionName, limit core.RequestRate) limitShare {
+	count := min(len(p.hosts), senderCount(limit))
+	if cached, ok := p.shares[upstream]; ok && cached.senders == count {
+		return cached
 	}
 	if p.shares == nil || len(p.shares) >= maxCachedShares {
-		p.shares = map[core.UpstreamName]cachedShare{}
+		p.shares = map[core.UpstreamName]limitShare{}
 	}
-	share := p.shareAmong(p.selectSenders(upstream, region, senders), region)
-	p.shares[upstream] = cachedShare{senders: senders, share: share}
+	share := p.newShare(p.sendersOf(upstream, region, count), region)
+	p.shares[upstream] = share
 	return share
 }
 
+// sendersOf returns the hosts that may send requests to an upstream. The caller holds
+// Pacer.mu.
+func (p *Pacer) sendersOf(upstream core.UpstreamName, region core.RegionName, count int) []core.Host {
+	if cached, ok := p.senders[upstream]; ok && len(cached) == count {
+		return cached
+	}
+	if p.senders == nil || len(p.senders) >= maxCachedShares {
+		p.senders = map[core.UpstreamName][]core.Host{}
+	}
+	senders := p.selectSenders(upstream, region, count)
+	p.senders[upstream] = senders
+	return senders
+}
+
 // senderCount returns how many hosts may send requests to an upstream with the limit.
 func senderCount(limit core.RequestRate) int {
 	return int(min(limit, math.MaxInt32)) + extraSenders
@@ -85,18 +108,29 @@
 	return senders
 }
 
-// shareAmong returns the share of this host among the senders, 0 if it is none of them.
-func (p *Pacer) shareAmong(senders []core.Host, region core.RegionName) float64 {
-	own, total := 0.0, 0.0
+// newShare returns the share of this host among the senders. What some of them lend goes
+// to those that lend nothing, in proportion to their own shares.
+func (p *Pacer) newShare(senders []core.Host, region core.RegionName) limitShare {
+	own, total, lent, borrowers := 0.0, 0.0, 0.0, 0.0
 	for _, h := range senders {
-		weight := hostWeight(h, region)
+		weight, loan := hostWeight(h, region), p.loans[h.Name]
 		total += weight
+		lent += loan * weight
+		if loan == 0 {
+			borrowers += weight
+		}
 		if h.Name == p.Self {
 			own = weight
 		}
 	}
-	if total == 0 {
-		return 0
+	share := limitShare{senders: len(senders)}
+	if own == 0 {
+		return share
+	}
+	share.own = own / total
+	share.now = share.own * (1 - p.loans[p.Self])
+	if p.loans[p.Self] == 0 {
+		share.now += lent / total * own / borrowers
 	}
-	return own / total
+	return share
 }
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/pacer"
 )
 
 // LimitStatement is what a response says about the rate limit of its upstream.
@@ -173,6 +174,20 @@
 	return room
 }
 
+// TakeUse returns what the host did with its shares in rate limits since the last call.
+func (p *Placer) TakeUse() pacer.Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	use := p.use
+	p.use = pacer.Use{}
+	for _, u := range p.upstreams {
+		if u.limit.InForce {
+			use.OwnRate += p.Pacer.OwnRate(u.Name, u.region, u.limit.Rate)
+		}
+	}
+	return use
+}
+
 // LimitedUpstreams returns the number of upstreams whose rate limit is in force.
 func (p *Placer) LimitedUpstreams() int {
 	p.mu.Lock()
--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -346,3 +346,25 @@
 		})
 	}
 }
+
+// TestUnusedSharesAreLent guards against requests that a busy host refuses although other
+// hosts leave their shares in the limits of a whole service unused: the clients of one
+// region send three times as much as the others, and all together four fifths of what the
+// upstreams take.
+func TestUnusedSharesAreLent(t *testing.T) {
+	const rate = 10.0
+	d := smallDeployment
+	d.requestRate = 0.8 * rate * float64(d.upstreams)
+	f := newLimitFleet(d)
+	f.exchangesNotices = true
+	f.busyRegion, f.busyFactor = "slz", 3
+	for i := range f.list {
+		f.limit(i, rate)
+	}
+	f.countFrom = at(10)
+	f.run(limitedUntil)
+	f.checkLimits(t)
+	if total := f.served + f.refused; f.refused > total/20 {
+		t.Errorf("%d of %d requests were refused, more than one in 20", f.refused, total)
+	}
+}
--- a/core/placer/limitfleet_test.go
+++ b/core/placer/limitfleet_test.go
@@ -25,6 +25,10 @@
 	limits    map[core.UpstreamName]limitPhase
 	arrivals  map[core.UpstreamName][]arrival
 	countFrom time.Time
+	// busyRegion gets busyFactor times as many requests a host as the other regions; empty
+	// means that all get as many.
+	busyRegion core.RegionName
+	busyFactor float64
 	// exchangesNotices says that hosts tell each other of limits, over links that lose one
 	// datagram in ten.
 	exchangesNotices bool
@@ -72,10 +76,21 @@
 	core.Host
 	placer *placer.Placer
 	pacer  *pacer.Pacer
+	lender pacer.Lender
+	// loans holds what other hosts lent with their last heartbeats.
+	loans map[core.HostName]heardLoan
 	// toldAt is when the host first got a response that named a limit, by upstream.
 	toldAt map[core.UpstreamName]time.Time
 }
 
+// heardLoan is what a host announced with its last heartbeat: what it lends, and whether
+// it needs shares itself.
+type heardLoan struct {
+	fraction float64
+	isNeeded bool
+	at       time.Time
+}
+
 var limitZones = []core.ZoneName{"slz-a", "for-a", "nat-a", "slz-b", "for-b", "nat-b"}
 
 func newLimitFleet(d deployment) *limitFleet {
@@ -100,7 +115,7 @@
 }
 
 func (f *limitFleet) newHost(self core.Host, peers []core.Host) *limitedHost {
-	h := &limitedHost{Host: self, toldAt: map[core.UpstreamName]time.Time{}}
+	h := &limitedHost{Host: self, loans: map[core.HostName]heardLoan{}, toldAt: map[core.UpstreamName]time.Time{}}
 	h.pacer = &pacer.Pacer{Self: self.Name, RateMultiplier: 1.5, Burst: 5}
 	h.pacer.SetHosts(peers)
 	h.placer = &placer.Placer{Zone: self.Zone, RegionByZone: regions, Pacer: h.pacer}
@@ -131,18 +146,27 @@
 	heap.Push(&f.events, event{f.now.Add(delay), handle})
 }
 
-// run simulates until the given second. Clients send requests to hosts at random, as
-// often to each.
+// randomHost returns the host of the next request.
+func (f *limitFleet) randomHost() *limitedHost {
+	for {
+		h := f.hosts[f.random.IntN(len(f.hosts))]
+		if f.busyRegion == "" || h.Zone.Region == f.busyRegion || f.random.Float64() < 1/f.busyFactor {
+			return h
+		}
+	}
+}
+
+// run simulates until the given second. Clients send requests to hosts at random.
 func (f *limitFleet) run(until float64) {
 	interval := float64(time.Second) / f.requestRate
 	var arrive func()
 	arrive = func() {
-		f.request(f.hosts[f.random.IntN(len(f.hosts))])
+		f.request(f.randomHost())
 		f.schedule(time.Duration(f.random.ExpFloat64()*interval), arrive)
 	}
 	f.schedule(0, arrive)
 	for _, h := range f.hosts {
-		f.schedule(time.Duration(f.random.Int64N(int64(noticeInterval))), func() { f.sendNotices(h) })
+		f.start(h)
 	}
 	for f.events.Len() > 0 && f.events[0].at.Before(at(until)) {
 		next, ok := heap.Pop(&f.events).(event)
@@ -175,12 +199,57 @@
 		}
 		for _, h := range added {
 			h.pacer.SetHosts(peers)
-			f.sendNotices(h)
+			f.start(h)
 		}
 		f.hosts = append(f.hosts[count:], added...)
 	})
 }
 
+// start starts the periodic tasks of a host.
+func (f *limitFleet) start(h *limitedHost) {
+	f.schedule(time.Duration(f.random.Int64N(int64(noticeInterval))), func() { f.sendNotices(h) })
+	if f.exchangesNotices {
+		f.schedule(time.Duration(f.random.Int64N(int64(noticeInterval))), func() { f.sendLoan(h) })
+		f.schedule(time.Duration(f.random.Int64N(int64(noticeInterval))), func() { f.lend(h) })
+	}
+}
+
+// lend decides on the loan of a host, now and every 250 ms.
+func (f *limitFleet) lend(h *limitedHost) {
+	const interval = 250 * time.Millisecond
+	use := h.placer.TakeUse()
+	loans := map[core.HostName]float64{}
+	for name, loan := range h.loans {
+		if f.now.Sub(loan.at) > pacer.BorrowTime {
+			continue
+		}
+		use.IsNeeded = use.IsNeeded || loan.isNeeded
+		if loan.fraction > 0 {
+			loans[name] = loan.fraction
+		}
+	}
+	h.lender.Update(use, f.now)
+	if committed := h.lender.Committed(); committed > 0 {
+		loans[h.Name] = committed
+	}
+	h.pacer.SetLoans(loans)
+	f.schedule(interval, func() { f.lend(h) })
+}
+
+// sendLoan makes a host tell up to 36 others what it lends, now and after each interval of
+// heartbeats.
+func (f *limitFleet) sendLoan(h *limitedHost) {
+	const maxPeers, lossRate = 36, 0.1
+	fraction, isNeeded := h.lender.Announced(), h.lender.NeedsShares(f.now)
+	for _, i := range f.random.Perm(len(f.hosts))[:min(maxPeers, len(f.hosts))] {
+		if to := f.hosts[i]; to != h && f.random.Float64() >= lossRate {
+			delay := time.Duration(f.random.Int64N(int64(interRegionRoundTrip)))
+			f.schedule(delay, func() { to.loans[h.Name] = heardLoan{fraction, isNeeded, f.now} })
+		}
+	}
+	f.schedule(noticeInterval, func() { f.sendLoan(h) })
+}
+
 // noticeInterval is the time between two heartbeats with notices of one host.
 const noticeInterval = 500 * time.Millisecond
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -71,6 +71,8 @@
 	evacuated map[core.ZoneName]bool
 	// lastThrottled is when the warm-up limit last kept a request from any upstream.
 	lastThrottled time.Time
+	// use is what the host did with its shares in rate limits since the last call of TakeUse.
+	use pacer.Use
 	// lastNotice is the upstream of the last notice in the rotation of RateLimitNotices.
 	lastNotice core.UpstreamName
 	// roundTrips holds the measured round-trip time to each region.
@@ -173,6 +175,7 @@
 	candidates := p.findCandidates(s, query, key, now)
 	if len(candidates.list) == 0 {
 		room := p.room(s, query, now)
+		p.use.IsShort = p.use.IsShort || room != nil
 		return Choice{IsThrottled: room != nil && room.Rate > 0, Room: room}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
@@ -194,6 +197,9 @@
 		lastSent, interval := u.lastSentAt, p.limitInterval(u)
 		u.startAttempt(key, now)
 		u.limitUse.add(isRepeat)
+		if u.limit.InForce {
+			p.use.Sent++
+		}
 		if c.replaces != nil {
 			c.replaces.limitUse.moved++
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -54,6 +54,9 @@
 	minZoneHosts = 2
 )
 
+// MaxLoanSteps is the value of Heartbeat.LoanSteps of a host that lends all of its shares.
+const MaxLoanSteps = 10
+
 // Heartbeat is the state that a host reports to the other hosts.
 type Heartbeat struct {
 	Host core.Host `cbor:"1,keyasint"`
@@ -70,6 +73,11 @@
 	RemainingWarmUps map[core.UpstreamName]uint32 `cbor:"5,keyasint,omitempty"`
 	// RateLimits holds what the host knows about the rate limits of some upstreams.
 	RateLimits map[core.UpstreamName]core.RateLimitNotice `cbor:"8,keyasint,omitempty"`
+	// LoanSteps is the part of its shares in rate limits that the host lends to the others, in
+	// tenths.
+	LoanSteps uint8 `cbor:"9,keyasint,omitempty"`
+	// NeedsShares says that rate limits left the host no upstream for some request lately.
+	NeedsShares bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
@@ -264,6 +272,34 @@
 	return append([]core.Host{r.Self}, r.Peers(now)...)
 }
 
+// Loans returns the fraction of its shares in rate limits that each other host lends,
+// among the hosts whose last heartbeat arrived within the given time.
+func (r *Roster) Loans(maxAge time.Duration, now time.Time) map[core.HostName]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loans := map[core.HostName]float64{}
+	for name, m := range r.members {
+		steps := m.heartbeat.LoanSteps
+		if steps > 0 && steps <= MaxLoanSteps && now.Sub(m.lastHeartbeat) <= maxAge {
+			loans[name] = float64(steps) / MaxLoanSteps
+		}
+	}
+	return loans
+}
+
+// AreSharesNeeded reports whether another host, whose last heartbeat arrived within the
+// given time, needs shares in rate limits.
+func (r *Roster) AreSharesNeeded(maxAge time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if m.heartbeat.NeedsShares && now.Sub(m.lastHeartbeat) <= maxAge {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerWithNewerCopy returns the live host with the newest copy of the store. It returns false
 // where no copy is newer than the given revisions.
 func (r *Roster) PeerWithNewerCopy(held core.Revisions, now time.Time) (core.Host, bool) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -213,6 +213,27 @@
 	is.Equal(r.Resolve(ask, start.Add(maxSilence+time.Millisecond)), []string{"host-0"})
 }
 
+// TestLoansOfLiveHosts guards against shares that are borrowed from a host that has gone
+// silent or ended its loan, or in an amount that is not a fraction.
+func TestLoansOfLiveHosts(t *testing.T) {
+	is := is.New(t)
+	const maxAge = time.Second
+	r := &roster.Roster{Self: host("self", "for-a", "for", 1)}
+	beat := func(name string, steps uint8, now time.Time) {
+		r.RecordHeartbeat(roster.Heartbeat{Host: host(name, "for-a", "for", 1), LoanSteps: steps}, now)
+	}
+	beat("lends", 5, start)
+	beat("ended", 5, start)
+	beat("ended", 0, start.Add(time.Millisecond))
+	beat("too-much", 11, start)
+	is.Equal(r.Loans(maxAge, start.Add(maxAge)), map[core.HostName]float64{"lends": 0.5})
+	is.Equal(len(r.Loans(maxAge, start.Add(maxAge+time.Millisecond))), 0)
+	is.True(!r.AreSharesNeeded(maxAge, start))
+	r.RecordHeartbeat(roster.Heartbeat{Host: host("needs", "for-a", "for", 1), NeedsShares: true}, start)
+	is.True(r.AreSharesNeeded(maxAge, start.Add(maxAge)))
+	is.True(!r.AreSharesNeeded(maxAge, start.Add(maxAge+time.Millisecond)))
+}
+
 // names returns the names of hosts.
 func names(hosts []core.Host) []core.HostName {
 	list := make([]core.HostName, len(hosts))
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -125,8 +125,13 @@
 	policy      atomic.Pointer[core.RoutingPolicy]
 	// sharingHosts is the number of hosts that shared limits are divided over.
 	sharingHosts atomic.Int64
-	isDraining   atomic.Bool
-	isReady      atomic.Bool
+	// lender is used by lendShares only. loanSteps is what this host lends of its shares
+	// in rate limits (roster.Heartbeat.LoanSteps).
+	lender      pacer.Lender
+	loanSteps   atomic.Int32
+	needsShares atomic.Bool
+	isDraining  atomic.Bool
+	isReady     atomic.Bool
 	// readMode says what the host reads from the store; it holds a ReadMode.
 	readMode      atomic.Int32
 	storeStatus   storeStatus
@@ -212,6 +217,8 @@
 	group.Go(func() { c.followReader(background) })
 	group.Go(func() { c.probeStore(background) })
 	group.Go(func() { c.reportLimitUse(background) })
+	// A loan ends on time only if no other task delays this one.
+	group.Go(func() { waiter.Every(background, taskInterval, c.lendShares) })
 
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"github.com/endiverun/endiverun/core/pacer"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/logger"
@@ -19,6 +21,9 @@
 	if heartbeat.Host.Name == c.Self.Name {
 		return
 	}
+	if heartbeat.LoanSteps > roster.MaxLoanSteps {
+		c.Log.Event(logger.PeerRejected).Str("peer", string(heartbeat.Host.Name)).Uint8("loan-steps", heartbeat.LoanSteps).Send()
+	}
 	for name, notice := range heartbeat.RateLimits {
 		if err := notice.Validate(); err != nil {
 			c.Log.Event(logger.PeerRejected).Str("peer", string(heartbeat.Host.Name)).Str("upstream", string(name)).Err(err).Send()
@@ -28,6 +33,26 @@
 	}
 }
 
+// lendShares decides which part of its shares in rate limits this host lends, and uses what
+// others lend.
+func (c *Controller) lendShares(now time.Time) {
+	use := c.placer.TakeUse()
+	use.IsNeeded = c.roster.AreSharesNeeded(pacer.BorrowTime, now)
+	c.lender.Update(use, now)
+	c.loanSteps.Store(int32(math.Round(roster.MaxLoanSteps * c.lender.Announced())))
+	c.needsShares.Store(c.lender.NeedsShares(now))
+	loans := c.roster.Loans(pacer.BorrowTime, now)
+	if committed := c.lender.Committed(); committed > 0 {
+		loans[c.Self.Name] = committed
+	}
+	c.pacer.SetLoans(loans)
+}
+
+// lentShare returns the fraction of its shares in rate limits that this host lends.
+func (c *Controller) lentShare() float64 {
+	return float64(c.loanSteps.Load()) / roster.MaxLoanSteps
+}
+
 // recordLimitChange logs that the rate limit of an upstream changed, and tells other hosts
 // of a limit that is new or much lower.
 func (c *Controller) recordLimitChange(change placer.LimitChange) {
@@ -54,7 +79,8 @@
 				Str("upstream", string(use.Upstream.Name)).Float64("limit", float64(use.Limit.Rate)).
 				Dur("age", now.Sub(use.Limit.HeardAt)).Str("source", string(use.Limit.Source)).
 				Int64("hosts", c.sharingHosts.Load()).Dur("interval", use.Interval).
-				Int("sent", use.Sent).Int("repeats", use.Repeats).Int("moved", use.Moved).Send()
+				Int("sent", use.Sent).Int("repeats", use.Repeats).Int("moved", use.Moved).
+				Float64("lent", c.lentShare()).Send()
 		}
 	})
 }
--- a/entry/controller/limits_test.go
+++ b/entry/controller/limits_test.go
@@ -97,3 +97,49 @@
 	c.recordFailure(forwarder.Event{RequestID: "q-2"})
 	is.True(!strings.Contains(log.String(), "limit"))
 }
+
+// TestIdleHostLends guards against shares in a rate limit that stay unused at one host while
+// another one refuses requests. The busy host says that it needs shares, the idle one what
+// it lends, and the busy one then sends more often. An impossible loan is logged and not used.
+func TestIdleHostLends(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	idle, busy := newController("host-1", upstream), newController("host-2", upstream)
+	now := time.Now().Add(time.Second)
+	exchange := func(from, to *Controller) roster.Heartbeat {
+		from.lendShares(now)
+		heartbeat := from.newHeartbeat()
+		to.roster.RecordHeartbeat(heartbeat, now)
+		return heartbeat
+	}
+	interval := func(c *Controller) time.Duration {
+		interval, ok := c.pacer.Interval("u-1", "for", 4)
+		is.True(ok)
+		return interval.Round(time.Millisecond)
+	}
+	for _, c := range []*Controller{idle, busy} {
+		c.roster.RecordHeartbeat(roster.Heartbeat{Host: idle.Self}, now)
+		c.roster.RecordHeartbeat(roster.Heartbeat{Host: busy.Self}, now)
+		c.divideSharedLimits(now)
+		c.placer.MergeRateLimitNotice("u-1", core.NewRateLimitNotice(4, true, 0), "host-3", now)
+	}
+	exchange(busy, idle)
+	is.Equal(exchange(idle, busy).LoanSteps, uint8(0)) // No host needs shares.
+	busy.lendShares(now)
+	is.Equal(interval(busy), 500*time.Millisecond)
+	for range 2 { // The second request finds no upstream.
+		busy.placer.Choose(placer.Query{Service: "desk", Key: "k"}, now)
+	}
+	is.True(exchange(busy, idle).NeedsShares)
+	heartbeat := exchange(idle, busy)
+	is.Equal(heartbeat.LoanSteps, uint8(7))
+	is.Equal(interval(idle), 1667*time.Millisecond)
+	busy.lendShares(now)
+	is.Equal(interval(busy), 294*time.Millisecond)
+
+	var log strings.Builder
+	busy.Log = logger.New(&log, "info", core.Host{Name: "host-2"})
+	heartbeat.LoanSteps = 11
+	busy.handleHeartbeat(heartbeat)
+	is.True(strings.Contains(log.String(), `"name":"peer-rejected"`))
+}
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -111,6 +111,8 @@
 		Ready:            c.IsServing(),
 		Revisions:        c.replicator.Snapshot().Revisions(),
 		RemainingWarmUps: c.coldUpstreams.remaining(now),
+		LoanSteps:        uint8(c.loanSteps.Load()),
+		NeedsShares:      c.needsShares.Load(),
 	}
 	c.addReaderStatus(&heartbeat, now)
 	return heartbeat
--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -41,6 +41,13 @@
 	return heartbeat
 }
 
+// lendingBeat states a loan beside the fields of fullBeat, or that the host needs one.
+func lendingBeat(steps uint8, needsShares bool) roster.Heartbeat {
+	heartbeat := fullBeat
+	heartbeat.LoanSteps, heartbeat.NeedsShares = steps, needsShares
+	return heartbeat
+}
+
 // fullSnapshot has every field set that hosts pass on.
 var fullSnapshot = replicator.Snapshot{
 	Policy: &replicator.Policy{
@@ -79,6 +86,8 @@
 		{"heartbeat-of-reader", roster.Heartbeat{Host: core.Host{Name: "host-3"}, ReadsStore: true}},
 		{"heartbeat-with-limit", limitBeat("desk-1", core.NewRateLimitNotice(8.5, true, 1200*time.Millisecond))},
 		{"heartbeat-with-ended-limit", limitBeat("desk-1", core.NewRateLimitNotice(0, false, 1200*time.Millisecond))},
+		{"heartbeat-with-loan", lendingBeat(5, false)},
+		{"heartbeat-of-borrower", lendingBeat(0, true)},
 		{"snapshot", fullSnapshot},
 		{"snapshot-unread", replicator.Snapshot{}},
 	}
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -37,11 +37,11 @@
 	urgentDelay = 5 * time.Millisecond
 	// regularNotices and urgentNotices are the numbers of notices about rate limits in a
 	// regular and in an urgent heartbeat, about 25 bytes each. noticedPeers is the largest mean
-	// number of hosts that get notices with the heartbeats of an interval: 4 notices to 4 hosts,
-	// twice a second, are 800 bytes a second.
+	// number of hosts that get notices with the heartbeats of an interval: 4 notices to 3 hosts,
+	// twice a second, are 600 bytes a second.
 	regularNotices = 4
 	urgentNotices  = 16
-	noticedPeers   = 4
+	noticedPeers   = 3
 )
 
 // Heartbeater sends and receives heartbeats.
--- a/entry/heartbeater/limit_test.go
+++ b/entry/heartbeater/limit_test.go
@@ -30,11 +30,12 @@
 }
 
 // TestNoticesFitTheBudget guards against notices about rate limits that multiply the
-// traffic between hosts when many upstreams name one. In a large fleet they may take
-// 0.9 KB a second, and a datagram must stay below the size that receivers read.
+// traffic between hosts when many upstreams name one. They may take 650 bytes a second,
+// about what regular heartbeats leave of 9 KB a second in a large fleet, and a datagram must
+// stay below the size that receivers read.
 func TestNoticesFitTheBudget(t *testing.T) {
 	const (
-		maxNoticeBytes = 900
+		maxNoticeBytes = 650
 		maxDatagram    = 1400
 		duration       = 60 * time.Second
 	)
