Tell other hosts the exact rate limit of an upstream

Found while reading the change: notices held the limit with single precision, so 9.7 came back as 9.69999981. Each renewal then looked like a lower limit: it was logged as a change and came before other notices. The limit is now told with double precision.

TestNoticeKeepsTheRate failed before. Heartbeats with notices stay within the budget (TestNoticesFitTheBudget).

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -5,7 +5,7 @@
 // The limit of a cold upstream is rate * RateMultiplier + Burst requests in any second
 // for an upstream that tolerates rate. The limit that an upstream names is that many
 // requests a second. Each host uses a share of either with even spacing between
-// its requests, and never communicates with the other hosts about it. Of a limit that an
+// its requests and asks no other host before it sends one. Of a limit that an
 // upstream names, hosts of its own region have larger shares than the others, because
 // they place most of its requests. Where shares would be too small, only some hosts,
 // selected by rendezvous hashing, send requests to the upstream: a first request of every
--- a/core/placer/notice.go
+++ b/core/placer/notice.go
@@ -85,7 +85,7 @@
 	}
 	next := KnownLimit{InForce: notice.InForce(), HeardAt: now.Add(-notice.Age.Duration()), Source: source}
 	if next.InForce {
-		next.Rate = core.RequestRate(notice.Rate)
+		next.Rate = notice.Rate
 	}
 	if !u.isNews(next, now) {
 		return nil
--- a/core/placer/notice_test.go
+++ b/core/placer/notice_test.go
@@ -150,3 +150,25 @@
 	is.Equal(len(p.RateLimitNotices(0, at(7))), 0)
 	is.Equal(len(p.RateLimitNotices(20, at(7))), len(list))
 }
+
+// TestNoticeKeepsTheRate guards against a limit that changes its value on the way between
+// hosts, so that every renewal looks like a change.
+func TestNoticeKeepsTheRate(t *testing.T) {
+	is := is.New(t)
+	first, second := newPlacer("slz-a", upstreamsIn(1, "slz-a")), newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	changes := 0
+	second.OnLimitChange = func(placer.LimitChange) { changes++ }
+	for i := range 5 {
+		now := at(float64(2 * i))
+		choice, ok := first.Choose(query("1"), now)
+		is.True(ok)
+		first.Report(choice, limited(9.7), now)
+		for name, notice := range first.RateLimitNotices(1, now) {
+			second.MergeRateLimitNotice(name, notice, "host-1", now)
+		}
+		choice, ok = second.Choose(query("1"), now)
+		is.True(ok)
+		second.Report(choice, limited(9.7), now)
+	}
+	is.Equal(changes, 1)
+}
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -34,7 +34,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Rate is the limit in requests a second; it is negative if the upstream has ended its
 	// limit.
-	Rate float32
+	Rate RequestRate
 	// Age is the time since the response arrived that the notice is based on, at whichever
 	// host.
 	Age Milliseconds
@@ -45,7 +45,7 @@
 
 // NewRateLimitNotice returns a notice about a limit in force, or about one that has ended.
 func NewRateLimitNotice(rate RequestRate, inForce bool, age time.Duration) RateLimitNotice {
-	notice := RateLimitNotice{Rate: float32(min(rate, math.MaxFloat32)), Age: MillisecondsOf(age)}
+	notice := RateLimitNotice{Rate: rate, Age: MillisecondsOf(age)}
 	if !inForce {
 		notice.Rate = endedRate
 	}
--- a/entry/controller/limits_test.go
+++ b/entry/controller/limits_test.go
@@ -72,7 +72,7 @@
 	c.Log = logger.New(&log, "info", core.Host{Name: "host-1"})
 	time.Sleep(2 * time.Millisecond) // The notices are newer than the list of upstreams.
 	c.handleHeartbeat(roster.Heartbeat{Host: core.Host{Name: "host-2"}, RateLimits: map[core.UpstreamName]core.RateLimitNotice{
-		"u-1":     {Rate: float32(math.NaN())},
+		"u-1":     {Rate: core.RequestRate(math.NaN())},
 		"u-2":     core.NewRateLimitNotice(8.5, true, 0),
 		"unknown": core.NewRateLimitNotice(8.5, true, 0),
 	}})
--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -84,7 +84,7 @@
 		{"heartbeat", fullBeat},
 		{"heartbeat-of-follower", roster.Heartbeat{Host: core.Host{Name: "host-2"}, Ready: true}},
 		{"heartbeat-of-reader", roster.Heartbeat{Host: core.Host{Name: "host-3"}, ReadsStore: true}},
-		{"heartbeat-with-limit", limitBeat("desk-1", core.NewRateLimitNotice(8.5, true, 1200*time.Millisecond))},
+		{"heartbeat-with-limit", limitBeat("desk-1", core.NewRateLimitNotice(9.7, true, 1200*time.Millisecond))},
 		{"heartbeat-with-ended-limit", limitBeat("desk-1", core.NewRateLimitNotice(0, false, 1200*time.Millisecond))},
 		{"heartbeat-with-loan", lendingBeat(5, false)},
 		{"heartbeat-of-borrower", lendingBeat(0, true)},
--- a/entry/heartbeater/limit_test.go
+++ b/entry/heartbeater/limit_test.go
@@ -103,8 +103,8 @@
 		{core.NewRateLimitNotice(0, true, 0), true},
 		{core.NewRateLimitNotice(1e300, true, time.Hour), true},
 		{core.NewRateLimitNotice(0, false, 0), true},
-		{core.RateLimitNotice{Rate: float32(math.NaN())}, false},
-		{core.RateLimitNotice{Rate: float32(math.Inf(1))}, false},
+		{core.RateLimitNotice{Rate: core.RequestRate(math.NaN())}, false},
+		{core.RateLimitNotice{Rate: core.RequestRate(math.Inf(1))}, false},
 		{core.RateLimitNotice{Rate: -2}, false},
 		{core.RateLimitNotice{Rate: 4, Age: -1}, false},
 	}
