Do not lend shares before their use is measured, nor while requests are held for them

Two causes, both in the loans:

- The average use of the shares began at 0, so in the first moments every host lent seven tenths and none borrowed.
It now begins at 1.
- A host counted as short only when a request found no open upstream.
Clients that wait for a response before they send the next request have theirs held, so nothing showed demand, the use fell with the loan, and the host went on lending.
It now counts as short as long as a request waits for an upstream to open.

--- a/core/pacer/lender.go
+++ b/core/pacer/lender.go
@@ -44,7 +44,9 @@
 // late: the host uses that part of its shares again only when no other one still does.
 type Lender struct {
 	updatedAt time.Time
-	sentRate  float64
+	// utilization averages the use of the host's own shares, as a fraction of them. It starts
+	// at 1, so that the host lends nothing before it has measured it.
+	utilization float64
 	// shortAt is when the host was short of shares last.
 	shortAt time.Time
 	// announced is the loan that other hosts are told.
@@ -62,9 +64,12 @@
 // Update records the use of the shares and decides on the loan anew. It should be called
 // every 250 ms.
 func (l *Lender) Update(use Use, now time.Time) {
-	if elapsed := now.Sub(l.updatedAt).Seconds(); !l.updatedAt.IsZero() && elapsed > 0 {
+	elapsed := now.Sub(l.updatedAt).Seconds()
+	if l.updatedAt.IsZero() || use.OwnRate <= 0 {
+		l.utilization = 1
+	} else if elapsed > 0 {
 		weight := 1 - math.Exp(-elapsed/useTime.Seconds())
-		l.sentRate += weight * (float64(use.Sent)/elapsed - l.sentRate)
+		l.utilization += weight * (float64(use.Sent)/elapsed/float64(use.OwnRate) - l.utilization)
 	}
 	l.updatedAt = now
 	if use.IsShort {
@@ -85,7 +90,7 @@
 	if use.IsShort {
 		most = max(math.Round(loanSteps*l.announced)-1, 0)
 	}
-	steps := math.Floor(loanSteps * (1 - usedMargin*l.sentRate/float64(use.OwnRate)))
+	steps := math.Floor(loanSteps * (1 - usedMargin*l.utilization))
 	return max(0, min(steps, most)) / loanSteps
 }
 
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -174,11 +174,24 @@
 	return room
 }
 
+// recordShortage records that the host is short of shares until the time at which an
+// upstream opens for a request, which may be held until then.
+func (p *Placer) recordShortage(room *Room, now time.Time) {
+	const (
+		shortest = 250 * time.Millisecond // the interval of TakeUse
+		longest  = time.Second
+	)
+	if room != nil {
+		p.shortUntil = later(p.shortUntil, now.Add(min(max(room.OpensIn, shortest), longest)))
+	}
+}
+
 // TakeUse returns what the host did with its shares in rate limits since the last call.
-func (p *Placer) TakeUse() pacer.Use {
+func (p *Placer) TakeUse(now time.Time) pacer.Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	use := p.use
+	use.IsShort = now.Before(p.shortUntil)
 	p.use = pacer.Use{}
 	for _, u := range p.upstreams {
 		if u.limit.InForce {
--- a/core/placer/limit_test.go
+++ b/core/placer/limit_test.go
@@ -368,3 +368,38 @@
 		t.Errorf("%d of %d requests were refused, more than one in 20", f.refused, total)
 	}
 }
+
+// TestLimitsOfServiceBegin guards against hosts that all lend their shares in the first
+// seconds of the limits of a whole service, when they have not yet measured what they use:
+// none would borrow, and most of what the upstreams take would stay unused.
+func TestLimitsOfServiceBegin(t *testing.T) {
+	const rate, load, seconds = 10.0, 1.5, 6
+	d := smallDeployment
+	d.requestRate = load * rate * float64(d.upstreams)
+	f := newLimitFleet(d)
+	f.exchangesNotices = true
+	for i := range f.list {
+		f.limit(i, rate)
+	}
+	f.countFrom = at(limitedFrom)
+	f.run(limitedFrom + seconds)
+	if limit := rate * seconds * float64(d.upstreams); float64(f.served) < 0.85*limit {
+		t.Errorf("%d requests were served in %d s, the limits allow %v", f.served, seconds, limit)
+	}
+}
+
+// TestHeldRequestNeedsShares guards against a host that lends its shares while requests are
+// held for lack of them: as long as they wait, nothing else shows that it is short.
+func TestHeldRequestNeedsShares(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	choice, ok := p.Choose(query("1"), start)
+	is.True(ok)
+	p.Report(choice, limited(1.25), start)
+	is.True(!p.TakeUse(start).IsShort)
+	_, ok = p.Choose(query("2"), at(0.1)) // It may be sent at 0.8 s.
+	is.True(!ok)
+	is.True(p.TakeUse(at(0.2)).IsShort)
+	is.True(p.TakeUse(at(0.7)).IsShort)
+	is.True(!p.TakeUse(at(0.8)).IsShort)
+}
--- a/core/placer/limitfleet_test.go
+++ b/core/placer/limitfleet_test.go
@@ -217,7 +217,7 @@
 // lend decides on the loan of a host, now and every 250 ms.
 func (f *limitFleet) lend(h *limitedHost) {
 	const interval = 250 * time.Millisecond
-	use := h.placer.TakeUse()
+	use := h.placer.TakeUse(f.now)
 	loans := map[core.HostName]float64{}
 	for name, loan := range h.loans {
 		if f.now.Sub(loan.at) > pacer.BorrowTime {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -73,6 +73,8 @@
 	lastThrottled time.Time
 	// use is what the host did with its shares in rate limits since the last call of TakeUse.
 	use pacer.Use
+	// shortUntil is until when the host is short of shares in rate limits.
+	shortUntil time.Time
 	// lastNotice is the upstream of the last notice in the rotation of RateLimitNotices.
 	lastNotice core.UpstreamName
 	// roundTrips holds the measured round-trip time to each region.
@@ -175,7 +177,7 @@
 	candidates := p.findCandidates(s, query, key, now)
 	if len(candidates.list) == 0 {
 		room := p.room(s, query, now)
-		p.use.IsShort = p.use.IsShort || room != nil
+		p.recordShortage(room, now)
 		return Choice{IsThrottled: room != nil && room.Rate > 0, Room: room}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -36,7 +36,7 @@
 // lendShares decides which part of its shares in rate limits this host lends, and uses what
 // others lend.
 func (c *Controller) lendShares(now time.Time) {
-	use := c.placer.TakeUse()
+	use := c.placer.TakeUse(now)
 	use.IsNeeded = c.roster.AreSharesNeeded(pacer.BorrowTime, now)
 	c.lender.Update(use, now)
 	c.loanSteps.Store(int32(math.Round(roster.MaxLoanSteps * c.lender.Announced())))
