Send notices about rate limits to every peer

Found while reading the change: notices were in the heartbeats of every twelfth interval, and each host of a region gets a heartbeat in every sixth. They heard of limits only by relays from farther away. The intervals with notices are now random.

TestNoticesReachEveryPeer failed before. Notices take 500 bytes a second on average, so that the random pauses stay within the budget.

--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -63,11 +63,14 @@
 	if change.Limit.Finding != "" {
 		event = logger.UpstreamLimitUnreadable
 	}
-	c.Log.Event(event).
+	line := c.Log.Event(event).
 		Str("upstream", string(change.Upstream.Name)).Str("service", string(change.Upstream.Service)).
 		Bool("in-force", change.Limit.InForce).Float64("limit", float64(change.Limit.Rate)).
-		Dur("age", time.Since(change.Limit.HeardAt)).Str("source", string(change.Limit.Source)).
-		Str("finding", change.Limit.Finding).Send()
+		Str("source", string(change.Limit.Source)).Str("finding", change.Limit.Finding)
+	if !change.Limit.HeardAt.IsZero() {
+		line = line.Dur("age", time.Since(change.Limit.HeardAt))
+	}
+	line.Send()
 }
 
 // reportLimitUse logs, until ctx ends, what this host sent to upstreams that have a rate
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -16,6 +16,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -36,12 +38,12 @@
 	// urgent heartbeat. Changes in quick succession are then sent together.
 	urgentDelay = 5 * time.Millisecond
 	// regularNotices and urgentNotices are the numbers of notices about rate limits in a
-	// regular and in an urgent heartbeat, about 25 bytes each. noticedPeers is the largest mean
-	// number of hosts that get notices with the heartbeats of an interval: 4 notices to 3 hosts,
-	// twice a second, are 600 bytes a second.
+	// regular and in an urgent heartbeat, about 25 bytes each. noticedPeers is the mean number
+	// of hosts that get notices with the heartbeats of an interval: 4 notices to 2.5 hosts,
+	// twice a second, are 500 bytes a second.
 	regularNotices = 4
 	urgentNotices  = 16
-	noticedPeers   = 3
+	noticedPeers   = 2.5
 )
 
 // Heartbeater sends and receives heartbeats.
@@ -70,8 +72,9 @@
 	// an invalid one arrives; nil ignores it.
 	OnError func(peer string, err error)
 
-	// round counts the heartbeat intervals.
-	round int
+	// round counts the heartbeat intervals, and noticeRound is the next one with notices
+	// about rate limits.
+	round, noticeRound int
 }
 
 // Run sends and receives heartbeats until ctx ends.
@@ -127,13 +130,17 @@
 }
 
 // sendRegular sends the heartbeat of an interval. Some of the intervals include notices
-// about rate limits, the fewer the more hosts get the heartbeat.
+// about rate limits, the fewer the more hosts get the heartbeat. Which ones is random: each
+// host gets a heartbeat in every so many intervals, and would otherwise get all or none of
+// its heartbeats with notices.
 func (h *Heartbeater) sendRegular(socket net.PacketConn) {
 	h.round++
 	peers := h.Roster.HeartbeatTargets(h.round, time.Now())
 	notices := 0
-	if stride := max(1, (len(peers)+noticedPeers-1)/noticedPeers); h.round%stride == 0 {
+	if h.round >= h.noticeRound {
 		notices = regularNotices
+		pause := float64(len(peers)) / noticedPeers * (0.5 + rand.Float64()) //nolint:gosec // Not used for security.
+		h.noticeRound = h.round + max(1, int(math.Round(pause)))
 	}
 	h.sendTo(socket, peers, notices)
 }
--- a/entry/heartbeater/limit_test.go
+++ b/entry/heartbeater/limit_test.go
@@ -21,11 +21,17 @@
 type measuringConn struct {
 	countingConn
 	bytes, largest int
+	// notified holds the addresses that got notices about rate limits.
+	notified map[string]bool
 }
 
 func (c *measuringConn) WriteTo(p []byte, to net.Addr) (int, error) {
 	c.bytes += len(p)
 	c.largest = max(c.largest, len(p))
+	var heartbeat roster.Heartbeat
+	if cbor.Unmarshal(p, &heartbeat) == nil && len(heartbeat.RateLimits) > 0 {
+		c.notified[to.String()] = true
+	}
 	return c.countingConn.WriteTo(p, to)
 }
 
@@ -37,7 +43,7 @@
 	const (
 		maxNoticeBytes = 650
 		maxDatagram    = 1400
-		duration       = 60 * time.Second
+		duration       = 600 * time.Second
 	)
 	for _, hosts := range []int{12, 61, 295, 1300} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
@@ -54,6 +60,21 @@
 	}
 }
 
+// TestNoticesReachEveryPeer guards against peers that get heartbeats but never the notices,
+// because the intervals with notices coincide with those of the other peers.
+func TestNoticesReachEveryPeer(t *testing.T) {
+	const duration = time.Hour
+	for _, hosts := range []int{12, 61, 76, 295} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				conn := regularBytes(t, hosts, duration, manyNotices)
+				is.Equal(len(conn.notified), hosts-1)
+			})
+		})
+	}
+}
+
 // manyNotices returns as many notices as it is asked for.
 func manyNotices(most int, _ time.Time) map[core.UpstreamName]core.RateLimitNotice {
 	notices := map[core.UpstreamName]core.RateLimitNotice{}
@@ -71,7 +92,7 @@
 	t.Helper()
 	is := is.New(t)
 	r := &roster.Roster{Self: fleetHost(0)}
-	conn := &measuringConn{countingConn: countingConn{closed: make(chan struct{})}}
+	conn := &measuringConn{countingConn: countingConn{closed: make(chan struct{})}, notified: map[string]bool{}}
 	for i := range hosts - 1 {
 		r.RecordHeartbeat(roster.Heartbeat{Host: fleetHost(i + 1)}, time.Now())
 	}
