--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -58,17 +58,9 @@
 	requestBodiesDivisor = 4
 	responseDivisor      = 16
 	responsesDivisor     = 6
-	// exitMargin is the part of the grace period that is reserved for the exit of
-	// the process.
-	exitMargin = 400 * time.Millisecond
 	// backgroundExitTimeout is how long the exit waits for calls to upstreams, other
 	// hosts and the store, which may take longer than the time that remains.
 	backgroundExitTimeout = 100 * time.Millisecond
-	// maxDrainDelay is how long after the start of a graceful stop clients may still
-	// connect because they use an older list of hosts.
-	maxDrainDelay = 2200 * time.Millisecond
-	// drainDelayDivisor limits the drain delay to a fraction of the grace period.
-	drainDelayDivisor = 3
 )
 
 // Controller runs one host.
@@ -254,28 +246,6 @@
 	c.seeds.Store(&seeds)
 }
 
-// startDraining announces that the host takes no more requests, and waits until
-// clients no longer use lists of hosts that include it.
-func (c *Controller) startDraining() {
-	c.isDraining.Store(true)
-	c.roster.SetReady(false)
-	c.forwarder.StartDraining()
-	c.Log.Event(logger.HostLeaving).Int64("open", c.forwarder.InFlight()).Send()
-	if c.Unregister != nil {
-		go c.Unregister()
-	}
-	time.Sleep(c.drainDelay())
-}
-
-func (c *Controller) drainDelay() time.Duration {
-	return min(maxDrainDelay, time.Duration(c.gracePeriod.Load())/drainDelayDivisor)
-}
-
-// drainTimeout returns how long requests in flight may take after the drain delay.
-func (c *Controller) drainTimeout() time.Duration {
-	return max(time.Duration(c.gracePeriod.Load())-c.drainDelay()-exitMargin, exitMargin)
-}
-
 // limitMemory makes the garbage collector run more often, and still more often near
 // the memory limit.
 func (c *Controller) limitMemory() {
@@ -292,11 +262,6 @@
 	return c.isReady.Load() && !c.isDraining.Load()
 }
 
-// IsDraining reports whether a graceful stop has begun.
-func (c *Controller) IsDraining() bool {
-	return c.isDraining.Load()
-}
-
 // Resolve returns the client addresses of at most limit entry hosts to which a client in
 // the given zone should send requests for the hostname of a route. Hosts near the zone
 // are preferred.
--- /dev/null
+++ b/entry/controller/stop.go
@@ -0,0 +1,45 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/endiverun/endiverun/entry/logger"
+)
+
+const (
+	// exitMargin is the part of the grace period that is reserved for the exit of
+	// the process.
+	exitMargin = 400 * time.Millisecond
+	// maxDrainDelay is how long after the start of a graceful stop clients may still
+	// connect because they use an older list of hosts.
+	maxDrainDelay = 2200 * time.Millisecond
+	// drainDelayDivisor limits the drain delay to a fraction of the grace period.
+	drainDelayDivisor = 3
+)
+
+// startDraining announces that the host takes no more requests, and waits until
+// clients no longer use lists of hosts that include it.
+func (c *Controller) startDraining() {
+	c.isDraining.Store(true)
+	c.roster.SetReady(false)
+	c.forwarder.StartDraining()
+	c.Log.Event(logger.HostLeaving).Int64("open", c.forwarder.InFlight()).Send()
+	if c.Unregister != nil {
+		go c.Unregister()
+	}
+	time.Sleep(c.drainDelay())
+}
+
+func (c *Controller) drainDelay() time.Duration {
+	return min(maxDrainDelay, time.Duration(c.gracePeriod.Load())/drainDelayDivisor)
+}
+
+// drainTimeout returns how long requests in flight may take after the drain delay.
+func (c *Controller) drainTimeout() time.Duration {
+	return max(time.Duration(c.gracePeriod.Load())-c.drainDelay()-exitMargin, exitMargin)
+}
+
+// IsDraining reports whether a graceful stop has begun.
+func (c *Controller) IsDraining() bool {
+	return c.isDraining.Load()
+}
