--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,128 @@
+// Command standin runs the cases of the review: it starts the project's own processes and
+// stand-ins of the platform, its backends and its clients.
+//
+// Usage: standin CASE RECORD, in the root of the repository. The exit code is 1 if the rule
+// of the case was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the
+// disruption out.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/signal"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// cases holds the cases by name. Each reports whether the rule was broken.
+var cases = map[string]func(trouble bool) bool{
+	"lost-watch": lostWatch,
+}
+
+var (
+	began    = time.Now()
+	cleanups []func()
+	record   struct {
+		sync.Mutex
+		lines []line
+	}
+)
+
+// line is one line of the record.
+type line struct {
+	at   time.Time
+	text string
+}
+
+// note adds a line to the record.
+func note(who, format string, args ...any) {
+	noteAt(time.Now(), who, format, args...)
+}
+
+func noteAt(at time.Time, who, format string, args ...any) {
+	record.Lock()
+	defer record.Unlock()
+	record.lines = append(record.lines, line{at, who + ": " + fmt.Sprintf(format, args...)})
+}
+
+// writeRecord writes the record in the order of time.
+func writeRecord(path string) {
+	record.Lock()
+	defer record.Unlock()
+	sort.SliceStable(record.lines, func(i, j int) bool { return record.lines[i].at.Before(record.lines[j].at) })
+	file, err := os.Create(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	w := bufio.NewWriter(file)
+	defer func() { _ = w.Flush() }()
+	for _, l := range record.lines {
+		fmt.Fprintf(w, "%8.3f %s\n", l.at.Sub(began).Seconds(), l.text)
+	}
+}
+
+func cleanUp() {
+	for i := len(cleanups) - 1; i >= 0; i-- {
+		cleanups[i]()
+	}
+	cleanups = nil
+}
+
+// run runs a case and returns the exit code.
+func run(play func(bool) bool) (code int) {
+	defer func() {
+		if reason, ok := recover().(couldNotRun); ok {
+			note("case", "could not run: %s", string(reason))
+			fmt.Println("could not run:", string(reason))
+			code = 2
+		}
+		cleanUp()
+	}()
+	if play(os.Getenv("TROUBLE") != "0") {
+		return 1
+	}
+	return 0
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		os.Exit(2)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		cleanUp()
+		os.Exit(2)
+	}()
+	code := run(cases[os.Args[1]])
+	writeRecord(os.Args[2])
+	os.Exit(code)
+}
+
+// noteTraffic records what was sent, answered and run.
+func noteTraffic(outcomes []outcome, arrived []arrival) {
+	for _, o := range outcomes {
+		noteAt(o.sentAt, "client", "sent %s %s to %s", o.id, o.path, o.host)
+		answer := fmt.Sprintf("status %d, signature %q", o.status, o.signature)
+		if o.err != nil {
+			answer = "no complete answer: " + o.err.Error()
+		}
+		noteAt(o.sentAt.Add(o.took), "client", "%s: %s", o.id, answer)
+	}
+	for _, a := range arrived {
+		noteAt(a.at, "backend", "%s (%s) got %s, ran it: %v", a.upstream, a.service, a.id, a.ran)
+	}
+}
+
+// say prints a line and records it.
+func say(format string, args ...any) {
+	fmt.Printf(format+"\n", args...)
+	note("case", format, args...)
+}
