--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(trouble bool) bool{
 	"lost-watch": lostWatch,
+	"retained":   retained,
 }
 
 var (
