--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -65,7 +65,13 @@
 		network: fmt.Sprintf("127.%d.%d.", 2+rand.IntN(250), 1+rand.IntN(250)), ports: map[string]int{},
 	}
 	for _, role := range []string{"frontend_addr", "ready", "control", "directory", "peer", "metrics"} {
-		f.ports[role] = freePort(f.network + "1")
+		listener, err := net.Listen("tcp4", f.network+"1:0")
+		if err != nil {
+			fail("%v", err)
+		}
+		// All are open until the last port is chosen, so that they differ.
+		defer func() { _ = listener.Close() }()
+		f.ports[role] = listener.Addr().(*net.TCPAddr).Port
 	}
 	cleanups = append(cleanups, f.stop)
 	return f
@@ -79,16 +85,6 @@
 	_ = os.RemoveAll(f.dir)
 }
 
-// freePort returns a TCP port of an address that was free.
-func freePort(ip string) int {
-	listener, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		fail("%v", err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
-}
-
 func (f *fleet) addUpstream(id, service, zone string, slots int, work time.Duration) *upstream {
 	u := &upstream{
 		id: id, service: service, zone: zone, address: "127.0.0.1:0", slots: slots, work: work, store: f.store, log: f.arrivals,
@@ -225,5 +221,5 @@
 		}
 	}
 	log, err := os.ReadFile(h.log)
-	fail("%s is not ready: %v\n%s", h.name, errors.Join(err), log)
+	fail("%s is not ready: %v\n%.2000s", h.name, errors.Join(err), log)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(trouble bool) bool{
 	"lost-watch": lostWatch,
 	"retained":   retained,
+	"memory":     memory,
 }
 
 var (
