--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -112,6 +111,3 @@
 		}
 	}()
 }
-
-// zeros returns a body of the given number of bytes.
-func zeros(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
