Review: stand-ins end their processes whatever fails

A failure in any part of a run now ends all processes and exits with 2; before, an unexpected panic was taken for a rule that held.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -75,37 +75,48 @@
 	cleanups = nil
 }
 
-// run runs a case and returns the exit code.
-func run(play func(bool) bool) (code int) {
-	defer func() {
-		if reason, ok := recover().(couldNotRun); ok {
-			note("case", "could not run: %s", string(reason))
-			fmt.Println("could not run:", string(reason))
-			code = 2
-		}
-		cleanUp()
-	}()
-	if play(os.Getenv("TROUBLE") != "0") {
-		return 1
+// fail ends the program because the case could not run.
+func fail(format string, args ...any) {
+	say("could not run: "+format, args...)
+	end(exitCouldNotRun)
+}
+
+// Exit codes.
+const (
+	exitHeld = iota
+	exitBroken
+	exitCouldNotRun
+)
+
+// end ends all processes, writes the record and exits.
+func end(code int) {
+	cleanUp()
+	if len(os.Args) > 2 {
+		writeRecord(os.Args[2])
 	}
-	return 0
+	os.Exit(code)
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
-		os.Exit(2)
+		os.Exit(exitCouldNotRun)
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
 		<-signals
-		cleanUp()
-		os.Exit(2)
+		end(exitCouldNotRun)
 	}()
-	code := run(cases[os.Args[1]])
-	writeRecord(os.Args[2])
-	os.Exit(code)
+	defer func() {
+		if reason := recover(); reason != nil {
+			fail("%v", reason)
+		}
+	}()
+	if cases[os.Args[1]](os.Getenv("TROUBLE") != "0") {
+		end(exitBroken)
+	}
+	end(exitHeld)
 }
 
 // noteTraffic records what was sent, answered and run.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -316,10 +315,3 @@
 		"status": map[string]any{"state": state, "sequence": 1, "warmup_left_s": 0},
 	}
 }
-
-func fail(format string, args ...any) {
-	panic(couldNotRun(fmt.Sprintf(format, args...)))
-}
-
-// couldNotRun is the panic value of a case that could not run.
-type couldNotRun string
