Log each failed read of the store, with the revision and the time it was pending

The log could not tell a watch that hangs from watchers that wait for each other, or from a change that was read and ignored: only the first of several failures had a line, without its call. Event 306 is now written for each failed list or watch.

--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -115,6 +115,7 @@
 // hosts, and does not reject requests without a matching route for good.
 func (c *Controller) RecordStoreFailure(err error, now time.Time) {
 	c.replicator.RecordStoreFailure(now)
+	c.Log.Event(logger.StoreReadFailed).Err(err).Send()
 	if c.storeStatus.recordFailure(now) {
 		c.Log.Event(logger.PlatformLost).Err(err).Send()
 	}
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -64,12 +64,13 @@
 	TicketUnreadable = Event{203, "ticket-unreadable", zerolog.ErrorLevel, "A stored ticket cannot be decoded; later tickets wait for it."}
 	SnapshotWritten  = Event{204, "snapshot-written", zerolog.InfoLevel, "A snapshot of the configuration was stored."}
 
-	PlatformLost   = Event{300, "platform-lost", zerolog.WarnLevel, "The platform's store is unavailable or returns unusable responses."}
-	PlatformFound  = Event{301, "platform-found", zerolog.InfoLevel, "The platform's store is available again."}
-	ReaderFollowed = Event{304, "reader-followed", zerolog.InfoLevel, "Another host of the zone reads the store on behalf of this host."}
-	StoreRead      = Event{305, "store-read", zerolog.InfoLevel, "The host reads the store itself again."}
-	SlotTaken      = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
-	SlotLost       = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
+	PlatformLost    = Event{300, "platform-lost", zerolog.WarnLevel, "The platform's store is unavailable or returns unusable responses."}
+	PlatformFound   = Event{301, "platform-found", zerolog.InfoLevel, "The platform's store is available again."}
+	ReaderFollowed  = Event{304, "reader-followed", zerolog.InfoLevel, "Another host of the zone reads the store on behalf of this host."}
+	StoreRead       = Event{305, "store-read", zerolog.InfoLevel, "The host reads the store itself again."}
+	StoreReadFailed = Event{306, "store-read-failed", zerolog.InfoLevel, "A list or a watch of objects in the store failed."}
+	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
+	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
 	PeerSilent   = Event{400, "peer-silent", zerolog.WarnLevel, "Another host did not respond; the connection to it was replaced."}
 	PeerRejected = Event{401, "peer-rejected", zerolog.WarnLevel, "Data from another host cannot be decoded."}
@@ -114,7 +115,7 @@
 var Events = []Event{
 	HostStarted, HostReady, HostLeaving, HostStopped, HostStopTimeout,
 	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
-	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead,
+	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamAnswerRejected, RequestOutcomeUnknown,
 	RequestRetried, RequestRefused, UpstreamFailed,
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -134,9 +134,10 @@
 	if w.objects == nil {
 		return w.listAll()
 	}
+	sent := time.Now()
 	changes, err := w.Watch(w.revision, w.WatchTimeout)
 	if err != nil {
-		return err
+		return errorx.Decorate(err, "watch after revision %d, pending for %v", w.revision, time.Since(sent).Round(time.Millisecond))
 	}
 	w.revision = changes.Revision
 	for _, c := range changes.List {
