End watches of the store whose response was lost

Cause: a pending watch counted as proof that nothing changes. Its response can be lost while the connection stays open and later calls succeed. It then hid every change until it timed out after 16.5 s, and one successful probe made the copy count as the newest.

Change: a watch waits no longer than the stabilization and propagation times allow, whatever was lost; when a call succeeds after failures, the pending watches are renewed, at first without a wait; after a failure only a list or a watch confirms the copy. This covers a whole store that was silent, one host, a single lost response, and the reader of a zone, whose followers trusted its probes.

TestWaitingWatchHidesOutage asserted that a probe alone confirms the copy, which is the fault; it now asserts that the watches are renewed and that the copy is confirmed only by a response to one of them.

--- a/entry/caller/store.go
+++ b/entry/caller/store.go
@@ -9,6 +9,10 @@
 	"github.com/endiverun/endiverun/core"
 )
 
+// StoreTimeout limits a call to the platform's store, beside the time for which a watch may
+// wait.
+const StoreTimeout = 1500 * time.Millisecond
+
 // StoreCall is one HTTP request to the platform's store, which holds JSON objects.
 type StoreCall struct {
 	Method string
--- a/entry/controller/bounds.go
+++ b/entry/controller/bounds.go
@@ -1,12 +1,20 @@
 package controller
 
-import "time"
+import (
+	"time"
+
+	"github.com/endiverun/endiverun/entry/caller"
+)
 
 const (
 	// minFetchTimeout and minBatchDelay are the lowest values that are derived from
 	// a short Bounds.MaxPropagationDelay.
 	minFetchTimeout = 300 * time.Millisecond
 	minBatchDelay   = 100 * time.Millisecond
+	// minWatchTimeout and maxWatchTimeout bound how long a watch of the store may wait.
+	// The store allows no longer wait than 30 s.
+	minWatchTimeout = time.Second
+	maxWatchTimeout = 25 * time.Second
 )
 
 // Bounds are the values that the operator tunes: limits that apply to all hosts
@@ -39,6 +47,9 @@
 	// MaxPropagationDelay is the time within which all hosts must apply a change in the
 	// store. If different kinds of changes have different times, it is the shortest one.
 	MaxPropagationDelay time.Duration
+	// StabilizationTime is how long after a disruption of the store or of the network all
+	// hosts must again apply changes within MaxPropagationDelay.
+	StabilizationTime time.Duration
 	// DeadHostTimeout is the longest time after a host has died for which clients may still
 	// be sent to it, by Resolve or by a list of hosts that they cache. 0 means that Resolve
 	// leaves a host out only because of the number of heartbeats that it missed.
@@ -66,3 +77,22 @@
 	const fraction = 0.08
 	return max(minBatchDelay, time.Duration(fraction*float64(b.MaxPropagationDelay)))
 }
+
+// WatchTimeout returns how long a watch of the store may wait for changes, where the store
+// keeps its changes for the given time.
+//
+// A watch whose response was lost hides changes until it times out, and nothing else may
+// show the loss. It must therefore end, and the store be listed again, before a change
+// that is made StabilizationTime after the loss is due on all hosts. The wait is also
+// shorter than the store's history, so that the next watch still finds the changes after
+// its revision.
+func (b *Bounds) WatchTimeout(history time.Duration) time.Duration {
+	const (
+		historyFraction = 0.75
+		// The rest is the time to list the store and to pass the changes on to followers.
+		lossFraction = 0.8
+	)
+	untilNoticed := time.Duration(lossFraction * float64(b.StabilizationTime+b.MaxPropagationDelay))
+	longest := min(untilNoticed-caller.StoreTimeout, time.Duration(historyFraction*float64(history)), maxWatchTimeout)
+	return max(longest, minWatchTimeout)
+}
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -14,13 +14,18 @@
 
 // storeStatus tracks whether this host can read the store.
 type storeStatus struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// lastResponse is when the store last confirmed the host's snapshot by its response
+	// to a list or a watch.
 	lastResponse time.Time
-	lastFailure  time.Time
+	// lastFailure is when a list, a watch or a probe last failed.
+	lastFailure time.Time
 	// lastReached is when the store was last known to be reachable.
 	lastReached time.Time
 	// hasProbeFailed says that the last probe failed.
 	hasProbeFailed bool
+	// isLost says that no call has succeeded since the last failure.
+	isLost bool
 }
 
 // recordResponse records a response of the store, and reports whether it is the
@@ -28,40 +33,53 @@
 func (s *storeStatus) recordResponse(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hasRecovered := s.lastFailure.After(s.lastResponse)
 	s.lastResponse = now
-	s.lastReached = now
-	return hasRecovered
+	return s.markReached(now)
+}
+
+// markReached records that the store was reached, and reports whether it was lost before.
+// The caller holds storeStatus.mu.
+func (s *storeStatus) markReached(now time.Time) bool {
+	wasLost := s.isLost
+	s.lastReached, s.isLost = now, false
+	return wasLost
 }
 
 // recordFailure records a failed call, and reports whether it is the first one
-// after responses.
+// after successful calls.
 func (s *storeStatus) recordFailure(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isFirst := !s.lastFailure.After(s.lastResponse)
-	s.lastFailure = now
+	return s.markLost(now)
+}
+
+// markLost records that a call failed, and reports whether the store was not lost before.
+// The caller holds storeStatus.mu.
+func (s *storeStatus) markLost(now time.Time) bool {
+	isFirst := !s.isLost
+	s.lastFailure, s.isLost = now, true
 	return isFirst
 }
 
-// isSnapshotCurrent reports whether the host's snapshot is known to be the newest.
+// isSnapshotCurrent reports whether the host's snapshot is known to be the newest. After
+// a failure only a list or a watch shows that: changes may have been missed meanwhile,
+// which a probe does not find.
 func (s *storeStatus) isSnapshotCurrent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.lastResponse.After(s.lastFailure) && !s.hasProbeFailed && now.Sub(s.lastResponse) < confirmationTime
 }
 
-// recordProbe records the result of a probe, and reports whether it differs from
-// the previous one.
+// recordProbe records the result of a probe, and reports whether it is the first success
+// after failures or the first failure after successful calls.
 func (s *storeStatus) recordProbe(isReachable bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.hasProbeFailed = !isReachable
 	if isReachable {
-		s.lastReached = now
+		return s.markReached(now)
 	}
-	hasChanged := s.hasProbeFailed == isReachable
-	s.hasProbeFailed = !isReachable
-	return hasChanged
+	return s.markLost(now)
 }
 
 // confirmSnapshot records that the host's snapshot is as new as that of a host that
@@ -106,7 +124,16 @@
 func (c *Controller) RecordStoreResponse(now time.Time) {
 	c.replicator.RecordStoreResponse(now)
 	if c.storeStatus.recordResponse(now) {
-		c.Log.Event(logger.PlatformFound).Send()
+		c.handleStoreFound()
+	}
+}
+
+// handleStoreFound is called when the store responds again after failures. Watches that
+// were pending meanwhile may have lost their responses, so they are renewed.
+func (c *Controller) handleStoreFound() {
+	c.Log.Event(logger.PlatformFound).Send()
+	if c.RenewWatches != nil {
+		c.RenewWatches()
 	}
 }
 
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -97,6 +97,9 @@
 	SetReadMode func(reading ReadMode)
 	// PingStore probes the store with a cheap call; nil disables the probes.
 	PingStore func() error
+	// RenewWatches makes the user repeat its pending watches of the store; it may be nil.
+	// It is called when the store responds again after failed calls.
+	RenewWatches func()
 	// Unregister removes the host from the list of hosts in the store; nil if there
 	// is no such list.
 	Unregister func()
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -15,7 +15,8 @@
 	// store for this one.
 	followInterval = 100 * time.Millisecond
 	// probeInterval is the time between two probes of the store. They are needed
-	// because the connection of a pending watch does not show an outage. The reader
+	// because the connection of a pending watch does not show an outage, nor that its
+	// response was lost in one that is over. The reader
 	// of a zone probes more often, since other hosts depend on it.
 	probeInterval       = time.Second
 	readerProbeInterval = 500 * time.Millisecond
@@ -147,7 +148,7 @@
 			c.Log.Event(logger.PlatformLost).Err(err).Send()
 			return
 		}
-		c.Log.Event(logger.PlatformFound).Send()
+		c.handleStoreFound()
 	})
 }
 
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -81,7 +81,8 @@
 // TestWaitingWatchHidesOutage checks that the probe detects an outage of the store
 // that begins while the host's watches are pending. No call fails then, and only the
 // probe shows that the snapshot may be outdated and that upstreams in the host's own
-// region must be checked.
+// region must be checked. When the outage is over, the watches must be renewed, and the
+// snapshot counts as current only after the response to one of them.
 func TestWaitingWatchHidesOutage(t *testing.T) {
 	is := is.New(t)
 	c := newController("host-1", coldUpstream(t))
@@ -92,6 +93,8 @@
 		}
 		return nil
 	}
+	renewed := make(chan struct{}, 1)
+	c.RenewWatches = func() { renewed <- struct{}{} }
 	c.RecordStoreResponse(time.Now()) // From now on a watch is pending.
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -105,9 +108,10 @@
 		time.Sleep(time.Millisecond)
 	}
 	isDown.Store(false)
-	for !c.storeStatus.isSnapshotCurrent(time.Now()) {
-		time.Sleep(time.Millisecond)
-	}
+	<-renewed
+	is.True(!c.storeStatus.isSnapshotCurrent(time.Now()))
+	c.RecordStoreResponse(time.Now())
+	is.True(c.storeStatus.isSnapshotCurrent(time.Now()))
 	stop()
 	<-done
 }
--- a/entry/watcher/gate.go
+++ b/entry/watcher/gate.go
@@ -32,6 +32,31 @@
 	// resumed is closed when the watchers are enabled again; nil while they are
 	// enabled.
 	resumed chan struct{}
+	// renewed is closed when the pending watches are to be renewed; nil if no watcher
+	// has asked for it since.
+	renewed chan struct{}
+}
+
+// RenewWatches makes the watchers abandon their pending watches and ask for the changes
+// at once. Call it when the store responds again after failed calls: a response that was
+// due in between may be lost, and its connection can stay open without it.
+func (g *CircuitBreaker) RenewWatches() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.renewed != nil {
+		close(g.renewed)
+		g.renewed = nil
+	}
+}
+
+// renewal returns a channel that the next call of RenewWatches closes.
+func (g *CircuitBreaker) renewal() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.renewed == nil {
+		g.renewed = make(chan struct{})
+	}
+	return g.renewed
 }
 
 // SetEnabled allows or forbids new calls of the watchers, whether the store fails or not.
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -5,6 +5,11 @@
 // them again after a failed call, and when the store no longer has all changes made
 // after the revision that the copy reflects.
 //
+// The response to a pending watch can be lost while the connection stays open and other
+// calls succeed. Until WatchTimeout has passed, the watcher cannot tell this from a
+// kind without changes. [CircuitBreaker.RenewWatches] ends the wait when there is a sign
+// of it.
+//
 // # Usage
 //
 //	w := &watcher.Watcher[Object]{
@@ -27,6 +32,13 @@
 	"github.com/endiverun/endiverun/entry/waiter"
 )
 
+// renewalWait is the wait of a renewed watch: the store responds at once, whether there are
+// changes or not.
+const renewalWait = time.Millisecond
+
+// errAbandoned reports that a watch was abandoned for a new one.
+var errAbandoned = core.ErrorNamespace.NewType("watch-abandoned")
+
 // List holds all objects of a kind by name, as of a revision of the store.
 type List[T any] struct {
 	Objects  map[string]T
@@ -56,7 +68,8 @@
 	// passed. It returns an error of type core.ErrHistoryGone when the store no
 	// longer has these changes, so that a new list is needed.
 	Watch func(after uint64, wait time.Duration) (Changes[T], error)
-	// WatchTimeout is how long the store may hold a watch open without changes.
+	// WatchTimeout is how long the store may hold a watch open without changes, and so how
+	// long a lost response can hide changes.
 	WatchTimeout time.Duration
 	// BatchDelay is the pause after a successful call. Changes that are made within
 	// it are fetched with one call.
@@ -82,6 +95,9 @@
 
 	objects  map[string]T
 	revision uint64
+	// isRenewing says that the last watch was abandoned. The next one must not wait, so
+	// that the store confirms at once that it still responds.
+	isRenewing bool
 	// delivered is the revision last passed to OnSnapshot or OnDelta. revision may
 	// be later, since the store's revision also counts changes of other kinds.
 	delivered uint64
@@ -117,6 +133,7 @@
 		w.Breaker.recordSuccess()
 		w.OnSuccess()
 		waiter.Sleep(ctx, delay)
+	case errorx.IsOfType(err, errAbandoned):
 	case errorx.IsOfType(err, core.ErrHistoryGone):
 		w.Breaker.recordSuccess()
 		w.objects = nil
@@ -135,7 +152,7 @@
 		return w.listAll()
 	}
 	sent := time.Now()
-	changes, err := w.Watch(w.revision, w.WatchTimeout)
+	changes, err := w.watch()
 	if err != nil {
 		return errorx.Decorate(err, "watch after revision %d, pending for %v", w.revision, time.Since(sent).Round(time.Millisecond))
 	}
@@ -159,6 +176,33 @@
 	return nil
 }
 
+// watch makes one call of Watch. It returns an error of type errAbandoned if the watches
+// are renewed before the response arrives; that response is ignored.
+func (w *Watcher[T]) watch() (Changes[T], error) {
+	wait := w.WatchTimeout
+	if w.isRenewing {
+		wait, w.isRenewing = renewalWait, false
+	}
+	renewed := w.Breaker.renewal()
+	var (
+		changes  Changes[T]
+		err      error
+		after    = w.revision
+		received = make(chan struct{})
+	)
+	go func() {
+		defer close(received)
+		changes, err = w.Watch(after, wait)
+	}()
+	select {
+	case <-received:
+		return changes, err
+	case <-renewed:
+		w.isRenewing = true
+		return Changes[T]{}, errAbandoned.New("renewed")
+	}
+}
+
 func (w *Watcher[T]) listAll() error {
 	list, err := w.List()
 	if err != nil {
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -209,3 +209,55 @@
 		is.Equal(watched.Sub(listed), delay)
 	})
 }
+
+// TestRenewedWatch guards against watchers that wait for a lost response although they
+// have been told that the store responds again: they must ask again at once and without
+// a wait, and ignore the response to the abandoned watch, which is older.
+func TestRenewedWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const late = 10 * time.Second
+		ctx, stop := context.WithCancel(t.Context())
+		breaker := &CircuitBreaker{}
+		var waits []time.Duration
+		var seen []int
+		w := &Watcher[int]{
+			Breaker:      breaker,
+			WatchTimeout: time.Minute,
+			List:         func() (List[int], error) { return List[int]{Objects: map[string]int{}, Revision: 1}, nil },
+			Watch: func(after uint64, wait time.Duration) (Changes[int], error) {
+				is.Equal(after, uint64(1+len(seen)))
+				waits = append(waits, wait)
+				switch len(waits) {
+				case 1:
+					time.Sleep(late)
+					return Changes[int]{Revision: 9, List: []Change[int]{{Name: "a", Object: 9}}}, nil
+				case 2:
+					return Changes[int]{Revision: 2, List: []Change[int]{{Name: "a", Object: 2}}}, nil
+				}
+				time.Sleep(wait)
+				return Changes[int]{Revision: after}, nil
+			},
+			OnSnapshot: func(objects map[string]int, _ uint64) {
+				if a, ok := objects["a"]; ok {
+					seen = append(seen, a)
+				}
+			},
+			OnSuccess: func() {},
+			OnFailure: func(error) { t.Error("not a failure") },
+		}
+		var group conc.WaitGroup
+		group.Go(func() { w.Run(ctx) })
+		time.Sleep(time.Second)
+		is.Equal(len(waits), 1)
+		breaker.RenewWatches()
+		time.Sleep(time.Millisecond)
+		is.Equal(seen, []int{2})
+		time.Sleep(2 * late)
+		is.Equal(seen, []int{2})
+		is.Equal(waits, []time.Duration{time.Minute, renewalWait, time.Minute})
+		stop()
+		time.Sleep(time.Minute)
+		group.Wait()
+	})
+}
