Probe a failing store with a list, whichever watcher probes

A watcher that still has its objects could become the one that probes the store for all watchers, and did so with a watch. The store may hold that open without a response, so the others, whose calls had failed, read nothing meanwhile: the same effect as a watch whose response was lost.

The probe is a list now. TestProbeIsAList failed before (one list and a watch).

--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -113,6 +113,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if isProbe {
+			// A probe must be a list: the store responds to it at once, whereas a watch may
+			// be held open while the other watchers wait for the probe.
+			w.objects = nil
+		}
 		delay := w.delay()
 		w.handleResult(ctx, w.poll(), delay, isProbe)
 	}
@@ -140,8 +145,6 @@
 	default:
 		w.Breaker.recordFailure(isProbe)
 		w.OnFailure(err)
-		// The next call is a list. The store responds to it at once, whereas a
-		// watch may be held open.
 		w.objects = nil
 	}
 }
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -261,3 +261,43 @@
 		group.Wait()
 	})
 }
+
+// TestProbeIsAList guards against a probe of a failing store that the store may hold open:
+// the other watchers wait for its result, so a watcher that still has its objects must
+// list them instead of watching them.
+func TestProbeIsAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		breaker := &CircuitBreaker{}
+		lists, watches := 0, 0
+		w := &Watcher[int]{
+			Breaker:      breaker,
+			WatchTimeout: time.Minute,
+			BatchDelay:   time.Second,
+			List: func() (List[int], error) {
+				lists++
+				return List[int]{Objects: map[string]int{}, Revision: 1}, nil
+			},
+			Watch: func(after uint64, wait time.Duration) (Changes[int], error) {
+				watches++
+				time.Sleep(wait)
+				return Changes[int]{Revision: after}, nil
+			},
+			OnSnapshot: func(map[string]int, uint64) {},
+			OnSuccess:  func() {},
+			OnFailure:  func(error) {},
+		}
+		var group conc.WaitGroup
+		group.Go(func() { w.Run(ctx) })
+		time.Sleep(500 * time.Millisecond)
+		breaker.recordFailure(false) // a call of another watcher
+		time.Sleep(time.Second)
+		listsAfter, watchesAfter := lists, watches
+		stop()
+		time.Sleep(2 * time.Minute)
+		group.Wait()
+		is.Equal(listsAfter, 2)
+		is.Equal(watchesAfter, 0)
+	})
+}
