--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -83,11 +83,12 @@
 }
 
 // confirmSnapshot records that the host's snapshot is as new as that of a host that
-// reads the store.
+// reads the store. The result of this host's own last probe no longer counts.
 func (s *storeStatus) confirmSnapshot(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastResponse = now
+	s.hasProbeFailed = false
 }
 
 // resetReachability records that this host itself has not reached the store lately.
--- a/entry/controller/recovery_test.go
+++ b/entry/controller/recovery_test.go
@@ -169,6 +169,19 @@
 	is.True(status.isSnapshotCurrent(now.Add(4 * time.Second)))
 }
 
+// TestFollowerForgetsFailedProbe guards against a host that begins to follow a reader before
+// its own next probe of the store succeeds: it makes no more probes, so the failed one must
+// not keep its snapshot from counting as current.
+func TestFollowerForgetsFailedProbe(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var status storeStatus
+	status.recordResponse(now)
+	status.recordProbe(false, now.Add(time.Second))
+	status.confirmSnapshot(now.Add(2 * time.Second))
+	is.True(status.isSnapshotCurrent(now.Add(2 * time.Second)))
+}
+
 // TestWatchTimeout checks that a watch is shorter than the time in which a lost one must
 // be noticed, the store's history and the longest wait that the store allows.
 func TestWatchTimeout(t *testing.T) {
