Do not take a quiet time or a single failed call for an outage of the store

Cause: hosts keep many missing upstreams for 2 s after an outage, since registrations expire in one, and inferred the outage from the time between two responses to their watches. A watch without changes is answered after many seconds, so each change after 1.5 s of quiet looked like the end of an outage, and extended the time. A single failed call began it too.

Change: probes count as responses; an outage is a time without any response in which upstreams could have missed two heartbeats; the grace period begins with the first response after it, of whatever call.

Tests: TestUpstreamsLeaveAfterQuietTime, TestLeftFromAvailableStore and TestGraceEnds fail on the old code and pass. TestOutageFollowsTheHeartbeat asserted the fault: a gap between responses alone was an outage. It now asserts as much of a time in which a call failed, for the same heartbeats and from both sides; that a gap alone is none is TestLeftFromAvailableStore.

--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -25,7 +25,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
-			switch rapid.SampledFrom([]string{"change", "leave", "expire", "outage", "evacuate", "follow"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"change", "leave", "expire", "outage", "recovery", "evacuate", "follow"}).Draw(t, "action") {
 			case "change":
 				changed := core.Upstream{Name: core.UpstreamName(name), Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
 				changed.Draining = rapid.Bool().Draw(t, "draining")
@@ -38,7 +38,9 @@
 			case "expire":
 				reader.RemoveExpired(now)
 			case "outage":
-				reader.RecordStoreFailure(now)
+				reader.RecordStoreFailure()
+			case "recovery":
+				reader.RecordStoreResponse(now)
 			case "evacuate":
 				revision++
 				reader.ApplyUpdate(replicator.Snapshot{Evacuations: &replicator.Evacuations{Revision: revision}}, now)
@@ -117,7 +119,7 @@
 		}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"change", "change", "leave", "expire", "outage"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"change", "change", "leave", "expire", "outage", "recovery"}).Draw(t, "action") {
 			case "change":
 				for range rapid.IntRange(1, 5).Draw(t, "number") {
 					name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
@@ -131,8 +133,11 @@
 				full.RemoveExpired(now)
 				delta.RemoveExpired(now)
 			case "outage":
-				full.RecordStoreFailure(now)
-				delta.RecordStoreFailure(now)
+				full.RecordStoreFailure()
+				delta.RecordStoreFailure()
+			case "recovery":
+				full.RecordStoreResponse(now)
+				delta.RecordStoreResponse(now)
 			}
 			take(uint64(step + 1))
 			requireEqual(t, full.Snapshot(), delta.Snapshot())
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -10,7 +10,9 @@
 //
 // Registrations of upstreams may expire during an outage of the store although the
 // upstreams are live. The host therefore compares its copy with the store for a grace
-// period after the outage. If many upstreams are missing from the store, their
+// period after the outage. An outage is a time without any response of the store, probes
+// included, in which upstreams could have missed enough heartbeats; a store that has
+// nothing to tell, or a single call that fails, is none. If many upstreams are missing from the store, their
 // registrations probably expired, and the copy retains them until the grace period ends.
 // If only a few are missing, they left while only this host could not reach the store,
 // and are removed.
@@ -41,6 +43,15 @@
 // to count as expired rather than as having left.
 const minExpiredFraction = 0.2
 
+// missedHeartbeats is the number of heartbeats that upstreams must miss before their
+// registrations expire. The third one is late too if the store responds again just
+// before it is due.
+const missedHeartbeats = 2
+
+// maxQuietTime is the longest time between two responses of a store that is available: a
+// host probes the store at least every 1.5 s and waits as long for the response.
+const maxQuietTime = 3 * time.Second
+
 // defaultHeartbeat is the time between two heartbeats of an upstream where none is
 // stated.
 const defaultHeartbeat = 1500 * time.Millisecond
@@ -126,9 +137,8 @@
 	// holds only the parts that changed.
 	OnChange func(now time.Time, current, changed Snapshot)
 	// UpstreamHeartbeatInterval is the time between two heartbeats that an upstream sends
-	// to the store; 0 means the default. A longer time without a response of the store
-	// counts as an outage, in which registrations may have expired; shorter gaps are
-	// normal.
+	// to the store; 0 means the default. Registrations may have expired if the store did
+	// not respond for several of them.
 	UpstreamHeartbeatInterval time.Duration
 
 	mu      sync.Mutex
@@ -138,7 +148,9 @@
 	// only have expired.
 	retained     map[core.UpstreamName]core.Upstream
 	lastResponse time.Time
-	graceUntil   time.Time
+	// hasFailed says that a call to the store has failed since lastResponse.
+	hasFailed  bool
+	graceUntil time.Time
 }
 
 // Snapshot returns the current copy.
@@ -148,15 +160,25 @@
 	return r.current
 }
 
-// RecordStoreResponse records a response of the store. After an outage it starts the grace
-// period.
+// RecordStoreResponse records a response of the store to any call, or that a host which
+// reads the store confirmed the copy. After an outage it starts the grace period.
 func (r *Replicator) RecordStoreResponse(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lastResponse.IsZero() && now.Sub(r.lastResponse) > r.heartbeat() {
+	if r.isStoreOut(now) {
 		r.graceUntil = now.Add(expiryGrace)
 	}
-	r.lastResponse = now
+	r.lastResponse, r.hasFailed = now, false
+}
+
+// isStoreOut reports whether the store has not responded for so long that registrations of
+// live upstreams may have expired. The caller holds Replicator.mu.
+func (r *Replicator) isStoreOut(now time.Time) bool {
+	if r.lastResponse.IsZero() {
+		return r.hasFailed
+	}
+	silence := now.Sub(r.lastResponse)
+	return silence > missedHeartbeats*r.heartbeat() && (r.hasFailed || silence > maxQuietTime)
 }
 
 // heartbeat returns the time between two heartbeats of an upstream.
@@ -167,12 +189,18 @@
 	return r.UpstreamHeartbeatInterval
 }
 
-// RecordStoreFailure records a failed call to the store. The call was made in time, so the store
-// is unavailable to this host. It starts or extends the grace period.
-func (r *Replicator) RecordStoreFailure(now time.Time) {
+// RecordStoreFailure records a failed call to the store.
+func (r *Replicator) RecordStoreFailure() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.graceUntil = latest(r.graceUntil, now.Add(expiryGrace))
+	r.hasFailed = true
+}
+
+// mayHaveExpired reports whether upstreams that are missing from the store may only have
+// expired: during an outage, and in the grace period after it. The caller holds
+// Replicator.mu.
+func (r *Replicator) mayHaveExpired(now time.Time) bool {
+	return now.Before(r.graceUntil) || r.isStoreOut(now)
 }
 
 // ApplyUpdate merges the parts of the update that are newer than the copy.
@@ -249,7 +277,7 @@
 // and whose registrations may have expired during an outage. The caller holds
 // Replicator.mu.
 func (r *Replicator) possiblyExpired(update *Upstreams, now time.Time) map[core.UpstreamName]core.Upstream {
-	if r.current.Upstreams == nil || !now.Before(r.graceUntil) {
+	if r.current.Upstreams == nil || !r.mayHaveExpired(now) {
 		return nil
 	}
 	isListed := make(map[core.UpstreamName]bool, len(update.List))
@@ -273,7 +301,7 @@
 func (r *Replicator) RemoveExpired(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.retained) == 0 || now.Before(r.graceUntil) {
+	if len(r.retained) == 0 || r.mayHaveExpired(now) {
 		return
 	}
 	next := r.registered()
@@ -281,11 +309,3 @@
 	r.setUpstreams(next)
 	r.notify(Snapshot{Upstreams: next}, now)
 }
-
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/core/replicator/replicator_test.go
+++ b/core/replicator/replicator_test.go
@@ -68,7 +68,7 @@
 	r.RecordStoreResponse(start)
 	r.ApplyUpdate(upstreams(50, manyNames(10)...), start)
 	recovery := start.Add(8 * time.Second)
-	r.RecordStoreFailure(recovery.Add(-time.Second))
+	r.RecordStoreFailure()
 	r.RecordStoreResponse(recovery)
 	r.ApplyUpdate(upstreams(60, "upstream-00", "upstream-01"), recovery)
 	is.Equal(len(names(r)), 10)
@@ -89,7 +89,7 @@
 	r.RecordStoreResponse(start)
 	r.ApplyUpdate(upstreams(50, manyNames(48)...), start)
 	recovery := start.Add(12 * time.Second)
-	r.RecordStoreFailure(recovery.Add(-time.Second))
+	r.RecordStoreFailure()
 	r.RecordStoreResponse(recovery)
 	r.ApplyUpdate(upstreams(68, manyNames(46)...), recovery)
 	is.Equal(len(names(r)), 46)
@@ -128,21 +128,22 @@
 }
 
 // TestOutageFollowsTheHeartbeat guards against a fixed duration of outages: upstreams
-// may send heartbeats more or less often than the default, and a gap in the store's
-// responses that is longer than their heartbeat may have let registrations expire.
+// may send heartbeats more or less often than the default, and the store may have let
+// registrations expire if it did not respond while upstreams missed two of them.
 func TestOutageFollowsTheHeartbeat(t *testing.T) {
 	for _, heartbeat := range []time.Duration{400 * time.Millisecond, 3 * time.Second} {
 		for _, isOutage := range []bool{false, true} {
 			t.Run(fmt.Sprint(heartbeat, isOutage), func(t *testing.T) {
-				gap := heartbeat - 100*time.Millisecond
+				silence := 2*heartbeat - 100*time.Millisecond
 				if isOutage {
-					gap = heartbeat + 100*time.Millisecond
+					silence = 2*heartbeat + 100*time.Millisecond
 				}
 				r := &replicator.Replicator{UpstreamHeartbeatInterval: heartbeat}
 				r.RecordStoreResponse(start)
 				list := []core.Upstream{{Name: "a"}, {Name: "b"}}
 				r.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 1, List: list}}, start)
-				recovery := start.Add(gap)
+				r.RecordStoreFailure()
+				recovery := start.Add(silence)
 				r.RecordStoreResponse(recovery)
 				r.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 2, List: list[:1]}}, recovery)
 				is.New(t).Equal(len(r.Snapshot().Upstreams.List) == 2, isOutage)
@@ -150,3 +151,57 @@
 		}
 	}
 }
+
+// TestLeftFromAvailableStore guards against requests to upstreams that left while the store
+// was available, however many leave at once: neither a time in which nothing changed nor a
+// single failed call lets registrations expire, and each further response must not put off
+// their removal.
+func TestLeftFromAvailableStore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// beforeLeaving calls the replicator before upstreams leave at the given time.
+		beforeLeaving func(r *replicator.Replicator, left time.Time)
+	}{
+		{"quiet store", func(r *replicator.Replicator, left time.Time) {
+			r.RecordStoreResponse(left.Add(-300 * time.Millisecond))
+		}},
+		{"failed call", func(r *replicator.Replicator, left time.Time) {
+			r.RecordStoreResponse(left.Add(-time.Second))
+			r.RecordStoreFailure()
+		}},
+		{"failed call before a response", func(r *replicator.Replicator, left time.Time) {
+			r.RecordStoreFailure()
+			r.RecordStoreResponse(left)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &replicator.Replicator{}
+			r.RecordStoreResponse(start)
+			r.ApplyUpdate(upstreams(50, manyNames(20)...), start)
+			left := start.Add(2900 * time.Millisecond)
+			c.beforeLeaving(r, left)
+			r.ApplyUpdate(upstreams(60, manyNames(15)...), left)
+			is.Equal(len(names(r)), 15)
+		})
+	}
+}
+
+// TestGraceEnds checks that upstreams that stay missing after an outage are removed in
+// time, although the store goes on to respond.
+func TestGraceEnds(t *testing.T) {
+	is := is.New(t)
+	r := &replicator.Replicator{}
+	r.RecordStoreResponse(start)
+	r.ApplyUpdate(upstreams(50, manyNames(20)...), start)
+	r.RecordStoreFailure()
+	r.ApplyUpdate(upstreams(60, manyNames(2)...), start.Add(6*time.Second)) // applied before its response is recorded
+	is.Equal(len(names(r)), 20)
+	for i := range 5 {
+		now := start.Add(6*time.Second + time.Duration(i)*500*time.Millisecond)
+		r.RecordStoreResponse(now)
+		r.RemoveExpired(now)
+		is.Equal(len(names(r)) == 20, i < 4)
+	}
+	is.Equal(len(names(r)), 2)
+}
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -142,7 +142,7 @@
 // host's snapshot does not count as current: the host looks for a newer one at other
 // hosts, and does not reject requests without a matching route for good.
 func (c *Controller) RecordStoreFailure(err error, now time.Time) {
-	c.replicator.RecordStoreFailure(now)
+	c.replicator.RecordStoreFailure()
 	c.Log.Event(logger.StoreReadFailed).Err(err).Send()
 	if c.storeStatus.recordFailure(now) {
 		c.Log.Event(logger.PlatformLost).Err(err).Send()
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -140,16 +140,25 @@
 			return
 		}
 		lastProbe = now
-		err := c.PingStore()
-		if !c.storeStatus.recordProbe(err == nil, time.Now()) {
-			return
-		}
-		if err != nil {
+		c.recordProbe(c.PingStore(), time.Now())
+	})
+}
+
+// recordProbe records the result of a probe of the store. A probe does not show changes,
+// but it shows that upstreams could reach the store too.
+func (c *Controller) recordProbe(err error, now time.Time) {
+	hasChanged := c.storeStatus.recordProbe(err == nil, now)
+	if err != nil {
+		c.replicator.RecordStoreFailure()
+		if hasChanged {
 			c.Log.Event(logger.PlatformLost).Err(err).Send()
-			return
 		}
+		return
+	}
+	c.replicator.RecordStoreResponse(now)
+	if hasChanged {
 		c.handleStoreFound()
-	})
+	}
 }
 
 // addReaderStatus adds to a heartbeat what the hosts of the zone need to know to
--- a/entry/controller/recovery_test.go
+++ b/entry/controller/recovery_test.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/replicator"
 	"github.com/endiverun/endiverun/entry/caller"
 	"github.com/endiverun/endiverun/entry/watcher"
 )
@@ -152,6 +153,54 @@
 	is.True(isCurrent)
 }
 
+// TestUpstreamsLeaveAfterQuietTime guards against requests to upstreams that left while the
+// store was available: a change after a quiet time must not look like the end of an outage,
+// which probes rule out. After an outage, upstreams that are missing are kept at first.
+func TestUpstreamsLeaveAfterQuietTime(t *testing.T) {
+	for _, isOutage := range []bool{false, true} {
+		t.Run(fmt.Sprint(isOutage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkLeaving(t, isOutage) })
+		})
+	}
+}
+
+// checkLeaving removes a quarter of the upstreams after six seconds in which the store had
+// nothing to tell, or was silent.
+func checkLeaving(t *testing.T, isOutage bool) {
+	is := is.New(t)
+	store := &lossyStore{}
+	store.lose(isOutage, false)
+	var upstreams []core.Upstream
+	for i := range 20 {
+		upstreams = append(upstreams, core.Upstream{Name: core.UpstreamName(fmt.Sprintf("u-%02d", i)), Service: "desk"})
+	}
+	c := newController("host-1", upstreams...)
+	c.PingStore = store.ping
+	c.RecordStoreResponse(time.Now())
+	ctx, stop := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() { c.probeStore(ctx) })
+	time.Sleep(6 * time.Second)
+	store.lose(false, false)
+	c.RecordStoreResponse(time.Now()) // a change of the configuration
+	time.Sleep(300 * time.Millisecond)
+	c.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 2, List: upstreams[5:]}}, time.Now())
+	c.RecordStoreResponse(time.Now())
+	kept := c.upstreamCount()
+	time.Sleep(1900 * time.Millisecond)
+	c.RecordStoreResponse(time.Now()) // another one
+	c.replicator.RemoveExpired(time.Now())
+	keptLonger := c.upstreamCount()
+	stop()
+	group.Wait()
+	if isOutage {
+		is.Equal(kept, 20)
+	} else {
+		is.Equal(kept, 15)
+	}
+	is.Equal(keptLonger, 15)
+}
+
 // TestProbeConfirmsNoSnapshot guards against a host that takes its snapshot for the newest
 // as soon as a probe succeeds after an outage, although it may have missed changes.
 func TestProbeConfirmsNoSnapshot(t *testing.T) {
