Send requests without an id on connections that carried no other

Other operators report an upstream that wrote an earlier refusal once more on a kept connection, after which clients were told that requests had not run which had. With an id this cannot happen here: a response with another id, or with none, is skipped, and after two the outcome counts as unknown; TestRepeatedRefusal shows it for six forms of the repetition, which passed before. A request without an id accepted any response, so the earlier refusal passed for its own. It now gets a connection of its own, where no earlier response can arrive.

--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -8,7 +8,7 @@
 // connection goes back to the pool only if its response was complete and belongs to the
 // request. It is closed after surplus bytes, if only responses with other request ids
 // arrive, or after a response that arrived before the whole body was sent. A request
-// without an id accepts any response.
+// without an id accepts any response, so it gets a connection that carried no other.
 //
 // The result of an attempt decides whether the request may be retried. NotRun
 // means that nothing was sent, or that the upstream said that it did not run the
@@ -215,9 +215,15 @@
 // connect returns a pooled or a new connection, or the result of the attempt if
 // there is none.
 func (e *Exchanger) connect(ctx context.Context, attempt Attempt, now time.Time) (*connection, *Result) {
-	conn, wasClosed := e.pool.take(endpointOf(attempt.Upstream), now)
-	if conn != nil {
-		return conn, nil
+	var wasClosed bool
+	// Without an id, a late response to an earlier request on a kept connection would pass
+	// for the response to this one.
+	if attempt.RequestID != "" {
+		var conn *connection
+		conn, wasClosed = e.pool.take(endpointOf(attempt.Upstream), now)
+		if conn != nil {
+			return conn, nil
+		}
 	}
 	if ctx.Err() != nil {
 		return nil, notSent(placer.Abandoned, "canceled")
