Take a body in chunks for complete only with the end of its trailer

Other operators report an upstream that stopped in the middle of a response's head, after which clients got a 200 that looked complete. TestPartOfAnAnswerIsNotWhole cuts seven forms of responses at each of their first bytes. A cut in the head, in a body with a length or in a chunk was never passed on. A body in chunks that ended after its last chunk, before the end of its trailer, counted as complete: fasthttp leaves the trailer to the caller, and neither the exchanger nor the caller of the older protocol read it.

Both read it now. The unread line end also kept every connection with such a response from being used again; a case of TestConnectionsKept shows that it is kept now.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -24,6 +24,8 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"io"
 	"strconv"
 	"time"
 
@@ -198,12 +200,30 @@
 	if response.Header.ContentLength() == contentLengthIdentity {
 		return "the response states no length"
 	}
-	if err := response.ReadBody(r, int(limit)); err != nil {
+	if err := ReadBody(response, r, limit); err != nil {
 		return "receive: " + err.Error()
 	}
 	return ""
 }
 
+// contentLengthChunked is the content length that fasthttp reports for a body in chunks.
+const contentLengthChunked = -1
+
+// ReadBody reads the body of a response whose head has been read, of at most limit bytes; 0
+// means no limit. A body in chunks ends with a trailer: fields, often none, and an empty
+// line. Without that line the response is not complete and ReadBody returns an error.
+func ReadBody(response *fasthttp.Response, r *bufio.Reader, limit core.Bytes) error {
+	isChunked := response.Header.ContentLength() == contentLengthChunked
+	if err := response.ReadBody(r, int(limit)); err != nil || !isChunked {
+		return err
+	}
+	err := response.Header.ReadTrailer(r)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // classify derives the result of an attempt from a response. It reports whether the
 // connection may be reused.
 func classify(response *fasthttp.Response, attempt Attempt) (Result, bool) {
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -64,6 +64,9 @@
 		{"without length", func(a string) string {
 			return "HTTP/1.1 200 OK\r\n" + caller.HeaderAttempt + ": " + a + "\r\n\r\nhello"
 		}, core.RunUnknown},
+		{"in chunks without their end", func(a string) string {
+			return "HTTP/1.1 200 OK\r\n" + caller.HeaderAttempt + ": " + a + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+		}, core.RunUnknown},
 		{"no answer", func(string) string { return "" }, core.RunUnknown},
 		{"shed", func(a string) string {
 			return "HTTP/1.1 503 X\r\n" + caller.HeaderAttempt + ": " + a + "\r\n" +
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
+	"github.com/endiverun/endiverun/entry/caller"
 )
 
 // receive reads the response to the attempt and skips up to
@@ -93,7 +94,7 @@
 	if !hasBody(response) {
 		return nil
 	}
-	return response.ReadBody(r, limit)
+	return caller.ReadBody(response, r, core.Bytes(limit))
 }
 
 // classify derives the result of an attempt from its response. Status 421 and
--- a/entry/exchanger/exchanger_test.go
+++ b/entry/exchanger/exchanger_test.go
@@ -212,6 +212,7 @@
 		isKept   bool
 	}{
 		{"clean", okResponse, true},
+		{"in chunks", okHead + "Keep-Alive: timeout=10\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
 		{"surplus bytes", okResponse + "x", false},
 		{"a second answer", okResponse + okResponse, false},
 		{"told to close", strings.Replace(okResponse, "Keep-Alive: timeout=10", "Connection: close", 1), false},
--- a/entry/exchanger/faulty_test.go
+++ b/entry/exchanger/faulty_test.go
@@ -108,3 +108,63 @@
 		})
 	}
 }
+
+// TestPartOfAnAnswerIsNotWhole guards against passing on an answer that the upstream broke
+// off, in its head or in its body, as a complete one.
+func TestPartOfAnAnswerIsNotWhole(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Type: text/plain\r\n"
+	for name, whole := range map[string]string{
+		"with a length":          head + "Content-Length: 7\r\n\r\nwhole!!",
+		"length first":           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: id-1\r\nX-Late: 1\r\n\r\n",
+		"in chunks":              head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n2\r\n!!\r\n0\r\n\r\n",
+		"in chunks with a field": head + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nSum: 1\r\n\r\n",
+		"without a body":         "HTTP/1.1 204 No Content\r\nRequest-Id: id-1\r\nX-Late: 1\r\n\r\n",
+		"after early hints":      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"long":                   head + "Content-Length: 200000\r\n\r\n" + strings.Repeat("b", 200000),
+	} {
+		cuts := []int{len(whole)}
+		for n := range min(len(whole), 400) {
+			cuts = append(cuts, n)
+		}
+		t.Run(name, func(t *testing.T) {
+			for _, cut := range cuts {
+				state, size := exchangeBytes(t, whole[:cut])
+				if isWhole := cut == len(whole); (state == core.Answered) != isWhole {
+					t.Errorf("%d of %d bytes: state %v with %d bytes of the body\n%q", cut, len(whole), state, size, whole[max(cut-40, 0):cut])
+				}
+			}
+		})
+	}
+}
+
+// TestHeadWithoutLengthIsNotWhole guards against an answer that breaks off in its head
+// after which the body would end with the connection: the head has no end, so no part of
+// it is an answer.
+func TestHeadWithoutLengthIsNotWhole(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nX-Late: 1\r\n\r\n"
+	for cut := range len(head) {
+		state, size := exchangeBytes(t, head[:cut])
+		if state == core.Answered {
+			t.Errorf("%d bytes of the head: answered with %d bytes", cut, size)
+		}
+	}
+}
+
+// exchangeBytes runs an attempt at an upstream that writes the bytes and closes the
+// connection, and returns the state and the length of the body.
+func exchangeBytes(t *testing.T, response string) (core.RunState, int64) {
+	t.Helper()
+	result := newExchanger().Do(t.Context(), attempt(serve(t, reply(response)), ""))
+	defer result.Close()
+	switch {
+	case result.Stream != nil:
+		n, err := io.Copy(io.Discard, result.Stream)
+		if err != nil {
+			return core.RunUnknown, n
+		}
+		return result.State, n
+	case result.Response != nil:
+		return result.State, int64(len(result.Response.Body()))
+	}
+	return result.State, 0
+}
