Let a deeply nested object in the store cost only itself

Other operators report that one odd entry among those of the upstreams stopped their machines. Here one entry nested deeper than 10,000 made every list and watch of its kind fail, so hosts applied no change of upstreams any more, and those of other kinds seldom, since the watchers share a circuit breaker; requests went on to upstreams that had left.

Cause: a page was decoded with one call of encoding/json, which rejects a text as a whole for one such value.

--- a/entry/caller/store.go
+++ b/entry/caller/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,7 +30,7 @@
 // body into target, unless target is nil. The error is of type core.ErrNotFound,
 // ErrConflict or ErrHistoryGone if the store says so, and of type core.ErrPlatform after
 // any other failure of the store or of the call. After ErrPlatform a write may have taken
-// effect.
+// effect. Values in the body that are nested too deeply are taken for null.
 func (c StoreCall) Do(client *fasthttp.Client, timeout time.Duration, target any) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -67,8 +68,19 @@
 	if target == nil {
 		return nil
 	}
-	if err := json.Unmarshal(response.Body(), target); err != nil {
+	if err := decodeJSON(response.Body(), target); err != nil {
 		return core.ErrPlatform.Wrap(err, "%s %s", c.Method, c.Path)
 	}
 	return nil
 }
+
+// decodeJSON decodes a body into target. Values that are nested too deeply to be decoded
+// are taken for null.
+func decodeJSON(body []byte, target any) error {
+	err := json.Unmarshal(body, target)
+	var syntaxError *json.SyntaxError
+	if !errors.As(err, &syntaxError) {
+		return err
+	}
+	return json.Unmarshal(pruneNesting(body), target)
+}
