Reject numbers of upstreams that are out of range

Numbers in registrations and responses were checked for their type only. An upstream with slots, in its registration or in the load that a response states, made the sum of the slots of its service negative, by which requests are divided between regions. Port 0, the address 0.0.0.0 and negative slots were accepted and cost attempts. A warm-up or a client's timeout of 1e300 ms or NaN was converted to a duration, with a result that differs between processors.

The checks of an upstream are one function of package core now, with bounds for the port, the address and the slots; a load out of range counts as none; milliseconds are parsed in one place, with a limit.

--- a/core/unit.go
+++ b/core/unit.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"time"
+)
 
 // Bytes is an amount of data in bytes.
 type Bytes int64
@@ -37,6 +41,19 @@
 	return Milliseconds(d / time.Millisecond)
 }
 
+// ParseMilliseconds parses a positive number of milliseconds, perhaps with a fraction. A
+// larger one than the limit counts as the limit. It returns false for any other text.
+func ParseMilliseconds(text string, limit time.Duration) (time.Duration, bool) {
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(number) || number <= 0 {
+		return 0, false
+	}
+	if number >= float64(limit/time.Millisecond) {
+		return limit, true
+	}
+	return time.Duration(number * float64(time.Millisecond)), true
+}
+
 // RequestRate is a number of requests a second.
 type RequestRate float64
 
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 )
 
@@ -29,6 +30,30 @@
 	ColdUntil time.Time `json:"-" cbor:"-"`
 }
 
+// MaxSlots is the largest number of slots of an upstream. Sums over many upstreams stay far
+// below the range of an int.
+const MaxSlots = 1 << 20
+
+// Validate returns an error of type ErrPeer where the upstream cannot get requests: a field
+// is empty, the address is no unicast IP address and port, or the number of slots is out of
+// range.
+func (u Upstream) Validate() error {
+	if u.Name == "" || u.Service == "" || u.Zone == "" {
+		return ErrPeer.New("upstream %q has no name, no service or no availability zone", u.Name)
+	}
+	address, err := netip.ParseAddrPort(u.Address)
+	if err != nil {
+		return ErrPeer.Wrap(err, "address of upstream %s", u.Name)
+	}
+	if address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+		return ErrPeer.New("upstream %s has the address %s", u.Name, u.Address)
+	}
+	if u.Slots < 0 || u.Slots > MaxSlots {
+		return ErrPeer.New("upstream %s has %d slots", u.Name, u.Slots)
+	}
+	return nil
+}
+
 // RateLimitNotice is what a host tells other hosts about the rate limit of an upstream.
 type RateLimitNotice struct {
 	_ struct{} `cbor:",toarray"`
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -126,7 +126,8 @@
 }
 
 // parseLoad parses the value of the Load field: running requests, waiting
-// requests and slots, separated by commas. It returns nil if the text is invalid.
+// requests and slots, separated by commas. It returns nil if the text is invalid or a
+// number is larger than the number of slots that an upstream can have.
 func parseLoad(text string) *placer.Load {
 	parts := strings.Split(text, ",")
 	if len(parts) != 3 {
@@ -135,7 +136,7 @@
 	var values [3]int
 	for i, p := range parts {
 		n, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > core.MaxSlots {
 			return nil
 		}
 		values[i] = n
@@ -143,12 +144,12 @@
 	return &placer.Load{Running: values[0], Waiting: values[1], Slots: values[2]}
 }
 
+// maxWarmUp is the longest remaining warm-up time that is believed.
+const maxWarmUp = time.Hour
+
 // parseWarmUp parses the remaining warm-up time in milliseconds. It returns 0 if
 // the text is not a positive number.
 func parseWarmUp(text string) time.Duration {
-	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || ms <= 0 {
-		return 0
-	}
-	return time.Duration(ms * float64(time.Millisecond))
+	remaining, _ := core.ParseMilliseconds(text, maxWarmUp)
+	return remaining
 }
--- a/entry/exchanger/faulty_test.go
+++ b/entry/exchanger/faulty_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
@@ -168,3 +169,20 @@
 	}
 	return result.State, 0
 }
+
+// TestNumbersOutOfRange guards against a faulty upstream whose load or warm-up does not fit
+// in the numbers that the hosts calculate with: the response counts, the number does not.
+func TestNumbersOutOfRange(t *testing.T) {
+	for _, field := range []string{"Load: 0,0,9223372036854775807", "Load: 9223372036854775807,1,6", "Cold-Ms: NaN", "Cold-Ms: 1e300"} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			response := okHead + field + "\r\nContent-Length: 2\r\n\r\nok"
+			result := newExchanger().Do(t.Context(), attempt(serve(t, reply(response)), ""))
+			defer result.Close()
+			is.Equal(result.State, core.Answered)
+			is.True(result.Report.Load == nil)
+			is.True(result.Report.RemainingWarmUp >= 0)
+			is.True(result.Report.RemainingWarmUp <= time.Hour)
+		})
+	}
+}
--- a/entry/forwarder/request.go
+++ b/entry/forwarder/request.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
 	"strings"
 	"time"
 
@@ -72,10 +71,9 @@
 
 // clientDeadline returns when the client stops waiting for a response.
 func (f *Forwarder) clientDeadline(ctx *fasthttp.RequestCtx, now time.Time) time.Time {
-	text := ctx.Request.Header.Peek(f.HeaderNames.Deadline)
-	ms, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || ms <= 0 {
-		return now.Add(maxClientTimeout)
+	timeout, ok := core.ParseMilliseconds(string(ctx.Request.Header.Peek(f.HeaderNames.Deadline)), maxClientTimeout)
+	if !ok {
+		timeout = maxClientTimeout
 	}
-	return now.Add(min(time.Duration(ms*float64(time.Millisecond)), maxClientTimeout))
+	return now.Add(timeout)
 }
