State the number of steps of a loan once

It stood in core/pacer and in core/roster; a change of one would have let a host use what it lends. No change of behaviour.

--- a/core/pacer/lender.go
+++ b/core/pacer/lender.go
@@ -20,8 +20,9 @@
 	repaymentDelay = 2250 * time.Millisecond
 	// usedMargin is the part of its shares that a host keeps, as a multiple of what it uses.
 	usedMargin = 1.4
-	// loanSteps is the number of steps in which a loan is stated.
-	loanSteps = 10
+	// LoanSteps is the number of steps in which a loan is stated: a host that states this
+	// many lends all of its shares.
+	LoanSteps = 10
 	// maxLoanSteps is the largest loan, so that demand that returns is noticed.
 	maxLoanSteps = 7
 	// useTime is the time constant of the average use of the shares.
@@ -88,10 +89,10 @@
 	}
 	most := float64(maxLoanSteps)
 	if use.IsShort {
-		most = max(math.Round(loanSteps*l.announced)-1, 0)
+		most = max(math.Round(LoanSteps*l.announced)-1, 0)
 	}
-	steps := math.Floor(loanSteps * (1 - usedMargin*l.utilization))
-	return max(0, min(steps, most)) / loanSteps
+	steps := math.Floor(LoanSteps * (1 - usedMargin*l.utilization))
+	return max(0, min(steps, most)) / LoanSteps
 }
 
 // NeedsShares reports whether the host was short of shares lately, so that others should
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -38,6 +38,7 @@
 	"time"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/pacer"
 )
 
 const (
@@ -54,9 +55,6 @@
 	minZoneHosts = 2
 )
 
-// MaxLoanSteps is the value of Heartbeat.LoanSteps of a host that lends all of its shares.
-const MaxLoanSteps = 10
-
 // Heartbeat is the state that a host reports to the other hosts.
 type Heartbeat struct {
 	Host core.Host `cbor:"1,keyasint"`
@@ -74,7 +72,7 @@
 	// RateLimits holds what the host knows about the rate limits of some upstreams.
 	RateLimits map[core.UpstreamName]core.RateLimitNotice `cbor:"8,keyasint,omitempty"`
 	// LoanSteps is the part of its shares in rate limits that the host lends to the others, in
-	// tenths.
+	// steps (pacer.LoanSteps).
 	LoanSteps uint8 `cbor:"9,keyasint,omitempty"`
 	// NeedsShares says that rate limits left the host no upstream for some request lately.
 	NeedsShares bool `cbor:"10,keyasint,omitempty"`
@@ -280,8 +278,8 @@
 	loans := map[core.HostName]float64{}
 	for name, m := range r.members {
 		steps := m.heartbeat.LoanSteps
-		if steps > 0 && steps <= MaxLoanSteps && now.Sub(m.lastHeartbeat) <= maxAge {
-			loans[name] = float64(steps) / MaxLoanSteps
+		if steps > 0 && steps <= pacer.LoanSteps && now.Sub(m.lastHeartbeat) <= maxAge {
+			loans[name] = float64(steps) / pacer.LoanSteps
 		}
 	}
 	return loans
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -21,7 +21,7 @@
 	if heartbeat.Host.Name == c.Self.Name {
 		return
 	}
-	if heartbeat.LoanSteps > roster.MaxLoanSteps {
+	if heartbeat.LoanSteps > pacer.LoanSteps {
 		c.Log.Event(logger.PeerRejected).Str("peer", string(heartbeat.Host.Name)).Uint8("loan-steps", heartbeat.LoanSteps).Send()
 	}
 	for name, notice := range heartbeat.RateLimits {
@@ -39,7 +39,7 @@
 	use := c.placer.TakeUse(now)
 	use.IsNeeded = c.roster.AreSharesNeeded(pacer.BorrowTime, now)
 	c.lender.Update(use, now)
-	c.loanSteps.Store(int32(math.Round(roster.MaxLoanSteps * c.lender.Announced())))
+	c.loanSteps.Store(int32(math.Round(pacer.LoanSteps * c.lender.Announced())))
 	c.needsShares.Store(c.lender.NeedsShares(now))
 	loans := c.roster.Loans(pacer.BorrowTime, now)
 	if committed := c.lender.Committed(); committed > 0 {
@@ -50,7 +50,7 @@
 
 // lentShare returns the fraction of its shares in rate limits that this host lends.
 func (c *Controller) lentShare() float64 {
-	return float64(c.loanSteps.Load()) / roster.MaxLoanSteps
+	return float64(c.loanSteps.Load()) / pacer.LoanSteps
 }
 
 // recordLimitChange logs that the rate limit of an upstream changed, and tells other hosts
