--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/endiverun/endiverun/core"
@@ -160,3 +161,29 @@
 	}
 	return update
 }
+
+// TestFollowerDropsExpired guards against a follower that keeps upstreams whose
+// registrations had expired: dropping them does not change the reader's revision, so a
+// delta from it would say nothing about them.
+func TestFollowerDropsExpired(t *testing.T) {
+	reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+	follow := func(now time.Time) {
+		follower.ApplyUpdate(reader.ChangesSince(follower.Snapshot().Revisions(), now), now)
+	}
+	reader.RecordStoreResponse(start)
+	reader.ApplyUpdate(upstreams(50, manyNames(10)...), start)
+	follow(start)
+	reader.RecordStoreFailure()
+	recovery := start.Add(8 * time.Second)
+	reader.ApplyUpdate(upstreams(60, "upstream-00"), recovery)
+	reader.RecordStoreResponse(recovery)
+	follow(recovery)
+	is := is.New(t)
+	is.Equal(len(names(follower)), 10)
+	ended := recovery.Add(3 * time.Second)
+	reader.RemoveExpired(ended)
+	reader.ApplyUpdate(upstreams(61, "upstream-00", "upstream-10"), ended)
+	follow(ended)
+	is.Equal(names(reader), []string{"upstream-00", "upstream-10"})
+	is.Equal(names(follower), names(reader))
+}
--- a/core/replicator/replicator_test.go
+++ b/core/replicator/replicator_test.go
@@ -158,25 +158,29 @@
 // their removal.
 func TestLeftFromAvailableStore(t *testing.T) {
 	for _, c := range []struct {
-		name string
+		name      string
+		heartbeat time.Duration
 		// beforeLeaving calls the replicator before upstreams leave at the given time.
 		beforeLeaving func(r *replicator.Replicator, left time.Time)
 	}{
-		{"quiet store", func(r *replicator.Replicator, left time.Time) {
+		{"quiet store", 0, func(r *replicator.Replicator, left time.Time) {
 			r.RecordStoreResponse(left.Add(-300 * time.Millisecond))
 		}},
-		{"failed call", func(r *replicator.Replicator, left time.Time) {
+		{"quiet store and short heartbeats", 400 * time.Millisecond, func(r *replicator.Replicator, left time.Time) {
+			r.RecordStoreResponse(left.Add(-300 * time.Millisecond))
+		}},
+		{"failed call", 0, func(r *replicator.Replicator, left time.Time) {
 			r.RecordStoreResponse(left.Add(-time.Second))
 			r.RecordStoreFailure()
 		}},
-		{"failed call before a response", func(r *replicator.Replicator, left time.Time) {
+		{"failed call before a response", 0, func(r *replicator.Replicator, left time.Time) {
 			r.RecordStoreFailure()
 			r.RecordStoreResponse(left)
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			r := &replicator.Replicator{}
+			r := &replicator.Replicator{UpstreamHeartbeatInterval: c.heartbeat}
 			r.RecordStoreResponse(start)
 			r.ApplyUpdate(upstreams(50, manyNames(20)...), start)
 			left := start.Add(2900 * time.Millisecond)
