--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -12,10 +12,10 @@
 // upstreams are live. The host therefore compares its copy with the store for a grace
 // period after the outage. An outage is a time without any response of the store, probes
 // included, in which upstreams could have missed enough heartbeats; a store that has
-// nothing to tell, or a single call that fails, is none. If many upstreams are missing from the store, their
-// registrations probably expired, and the copy retains them until the grace period ends.
-// If only a few are missing, they left while only this host could not reach the store,
-// and are removed.
+// nothing to tell, or a single call that fails, is none. If many upstreams are missing
+// from the store, their registrations probably expired, and the copy retains them until
+// the grace period ends. If only a few are missing, they left while only this host could
+// not reach the store, and are removed.
 //
 // # Usage
 //
