--- a/core/placer/availability_test.go
+++ b/core/placer/availability_test.go
@@ -67,8 +67,11 @@
 	now := start.Add(time.Second)
 	p.SetUpstreams(list, now) // The store was away; its list does not say it yet.
 	is.True(!isUsed(now))
-	p.SetUpstreams(slices.DeleteFunc(slices.Clone(list), func(u core.Upstream) bool { return u.Name == name }), now)
-	now = now.Add(time.Minute)
+	rest := slices.DeleteFunc(slices.Clone(list), func(u core.Upstream) bool { return u.Name == name })
+	for range 2 {
+		p.SetUpstreams(rest, now)
+		now = now.Add(time.Minute)
+	}
 	p.SetUpstreams(list, now) // an older list of another host
 	withoutCold(p, list, now)
 	is.True(!isUsed(now))
