Learn that upstreams may be cold also while they are not listed

Cause: the end of an evacuation marked only listed upstreams as possibly cold. The registrations of the zone had expired in the cut; an upstream that was registered again 0.1 ms after the host applied that end counted as warm.

--- a/core/placer/cold.go
+++ b/core/placer/cold.go
@@ -50,12 +50,15 @@
 
 // MarkCold records that an upstream stays cold for a duration, as found by
 // this host or another one. It returns the upstream as it is listed, and whether this is
-// new: the upstream was not known to be cold. For a name that is not listed it returns
-// an empty upstream and false.
+// new: the upstream was not known to be cold. For a name that is not listed and did not
+// leave the list recently it returns an empty upstream and false.
 func (p *Placer) MarkCold(name core.UpstreamName, cold time.Duration, now time.Time) (core.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.upstreams[name]
+	if u == nil {
+		u = p.removed[name]
+	}
 	if u == nil {
 		return core.Upstream{}, false
 	}
@@ -69,7 +72,7 @@
 func (p *Placer) SuspectZoneCold(zone core.ZoneName, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, u := range p.upstreams {
+	for u := range p.allIncarnations() {
 		if u.Zone == zone && !now.Before(u.coldUntil) {
 			u.suspectedAt = later(u.suspectedAt, now)
 		}
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -117,6 +118,21 @@
 	return regions
 }
 
+// allIncarnations returns the upstreams of the list and those that left it recently. The
+// latter may be listed again, with what this host learned of them meanwhile. The caller
+// holds Placer.mu.
+func (p *Placer) allIncarnations() iter.Seq[*upstream] {
+	return func(yield func(*upstream) bool) {
+		for _, list := range []map[core.UpstreamName]*upstream{p.upstreams, p.removed} {
+			for _, u := range list {
+				if !yield(u) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // SetEvacuatedZones replaces the set of evacuated availability zones, whose upstreams
 // get no requests. When the evacuation of a zone ends, its upstreams are treated
 // as possibly cold.
@@ -127,7 +143,7 @@
 	for _, z := range zones {
 		next[z] = true
 	}
-	for _, u := range p.upstreams {
+	for u := range p.allIncarnations() {
 		if p.evacuated[u.Zone] && !next[u.Zone] {
 			u.suspectedAt = later(u.suspectedAt, now)
 		}
