--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -235,8 +235,8 @@
 
 // SetBounds changes the bounds of a running host. RetryBudgetWindow,
 // UpstreamHeartbeatInterval and the times that this package derives from
-// MaxPropagationDelay (BatchDelay, WatchDelay and the timeout for fetching a snapshot)
-// change only with a restart.
+// MaxPropagationDelay and StabilizationTime (BatchDelay, WatchDelay, WatchTimeout and the
+// timeout for fetching a snapshot) change only with a restart.
 func (c *Controller) SetBounds(bounds Bounds) {
 	c.retryBudget.SetLimits(bounds.RetryBudgetRatio, bounds.RetryBudgetAllowance)
 	c.pacer.SetLimit(bounds.WarmUpRateMultiplier, bounds.WarmUpBurst)
