Refuse until the end of a pause only if every upstream is paused

The time is given now only if all upstreams that may get the request are paused, tried ones included. TestPauseOfOneUpstream failed before. Upstreams that state no Retry-After are not affected.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -133,23 +133,25 @@
 	return &AvailabilityChange{Upstream: u.Upstream, Availability: said}
 }
 
-// reopening returns the time until the first upstream that could get the request wants
-// requests again, 0 if none is closed. It also reports whether one is returning, so that it
-// may soon take one more request.
+// reopening returns the time until the first upstream wants requests again, if all that may
+// get the request want none now, otherwise 0. It also reports whether one that was not tried
+// is returning, so that it may soon take one more request.
 func (p *Placer) reopening(s *service, query Query, now time.Time) (opensIn time.Duration, isReturning bool) {
+	isAnyOpen := false
 	for _, r := range s.regions {
 		if !query.allowsRegion(r.name) {
 			continue
 		}
 		for _, u := range r.members {
-			if slices.Contains(query.Exclude, u.Name) {
-				continue
-			}
-			isReturning = isReturning || u.isReturning(now)
+			isReturning = isReturning || u.isReturning(now) && !slices.Contains(query.Exclude, u.Name)
+			isAnyOpen = isAnyOpen || !u.isClosed(now)
 			if remaining := u.closedUntil.Sub(now); remaining > 0 && (opensIn == 0 || remaining < opensIn) {
 				opensIn = remaining
 			}
 		}
 	}
+	if isAnyOpen {
+		return 0, isReturning
+	}
 	return opensIn, isReturning
 }
--- a/core/placer/availability_test.go
+++ b/core/placer/availability_test.go
@@ -190,3 +190,20 @@
 		}
 	})
 }
+
+// TestPauseOfOneUpstream guards against a Retry-After to clients that is that of one paused
+// upstream, although others, which only this request has tried, take requests.
+func TestPauseOfOneUpstream(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(3, "slz-a"))
+	paused, ok := p.Choose(query("key"), start)
+	is.True(ok)
+	say(p, paused, placer.Availability{RetryAfter: 5 * time.Minute}, start)
+	tried := query("key")
+	for range 2 {
+		tried.Exclude = append(tried.Exclude, complete(t, p, tried, start).Name)
+	}
+	choice, ok := p.Choose(tried, start)
+	is.True(!ok)
+	is.Equal(choice.ReopensIn, time.Duration(0))
+}
--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -55,8 +55,8 @@
 }
 
 // findCandidates returns the candidates for the key with their costs. Upstreams whose
-// rate limit or Retry-After allows this host no attempt now are left out. Ejected upstreams are left out
-// unless no other upstream may get the request.
+// rate limit or Retry-After allows this host no attempt now are left out. Ejected upstreams
+// are left out unless no other upstream may get the request.
 func (p *Placer) findCandidates(s *service, query Query, key uint64, now time.Time) candidateSet {
 	candidates := candidateSet{list: p.rankCandidates(s, query, key, now, func(u *upstream) bool { return !u.isEjected(now) })}
 	if len(candidates.list) == 0 {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -139,7 +139,7 @@
 	// cold or returning upstreams or rate limits prevented it, so that another call of
 	// Choose may soon succeed.
 	IsThrottled bool
-	// ReopensIn is set, when no upstream was selected, if some want no requests for a time
+	// ReopensIn is set, when no upstream was selected, if all want no requests for a time
 	// that they stated. It is the time until the first of them takes requests again.
 	ReopensIn time.Duration
 	// Room is set if rate limits prevented the selection.
