Log each request that a host cuts when it ends

The lines of a host could not tell a request that was cut at the end of a planned stop from one whose client left or whose connection was taken for idle: only the number of open requests was logged. Each is a line now (518, request-cut) with its upstream, its age and the time since its body was complete, and host-stopped counts them.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -229,7 +229,7 @@
 		stopServing()
 		err = <-stopped
 	}
-	c.Log.Event(logger.HostStopped).Int64("open", c.forwarder.InFlight()).Send()
+	c.recordStop(time.Now())
 	return err
 }
 
--- a/entry/controller/stop.go
+++ b/entry/controller/stop.go
@@ -39,6 +39,18 @@
 	return max(time.Duration(c.gracePeriod.Load())-c.drainDelay()-exitMargin, exitMargin)
 }
 
+// recordStop logs the end of the host, and each request that is cut by it.
+func (c *Controller) recordStop(now time.Time) {
+	cut := c.forwarder.Pending()
+	for _, p := range cut {
+		c.Log.Event(logger.RequestCut).
+			Str("request", p.RequestID).Str("route", string(p.Route)).Str("service", string(p.Service)).
+			Str("upstream", string(p.Upstream)).Uint64("policy", p.PolicyVersion).
+			Dur("took", now.Sub(p.Started)).Dur("since-body", now.Sub(p.Received)).Send()
+	}
+	c.Log.Event(logger.HostStopped).Int64("open", c.forwarder.InFlight()).Int("cut", len(cut)).Send()
+}
+
 // IsDraining reports whether a graceful stop has begun.
 func (c *Controller) IsDraining() bool {
 	return c.isDraining.Load()
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -125,6 +125,7 @@
 	splitter   splitter
 	held       heldRequests
 	returns    returnSchedule
+	pending    pendingRequests
 	inFlight   atomic.Int64
 	bodyBytes  atomic.Int64
 	isDraining atomic.Bool
@@ -141,6 +142,11 @@
 	return f.inFlight.Load()
 }
 
+// Pending returns the requests that have been read and not yet answered, in no order.
+func (f *Forwarder) Pending() []Pending {
+	return f.pending.list()
+}
+
 // StartDraining starts draining: from now on the host closes each client connection
 // after its next response. It may be called before ctx of Run ends, so that clients
 // leave while the host still accepts connections. Run calls it too when ctx ends.
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -39,6 +39,7 @@
 	service    core.ServiceName
 	body       []byte
 	event      Event
+	pending    *pendingRequest
 	// affinityKey is the client's affinity key, or the request ID if there is none.
 	affinityKey string
 
@@ -73,6 +74,8 @@
 // serve forwards a request and writes the response.
 func (f *Forwarder) serve(ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, now time.Time) {
 	r := f.newRequestState(ctx, policy, route, body, now)
+	f.pending.add(r.pending)
+	defer f.pending.remove(r.pending)
 	r.span = f.Tracer.Start(string(ctx.Request.Header.Peek(caller.HeaderTraceparent)), "entry.request")
 	defer func() { r.span.End(r.failureCause()) }()
 	f.RetryBudget.RecordRequest(r.service, now)
@@ -98,6 +101,10 @@
 		r.responseDeadline = earlier(r.responseDeadline, routeDeadline.Add(lateResponseGrace))
 	}
 	r.event = Event{RequestID: f.requestID(ctx), Route: route.Name, Service: r.service, PolicyVersion: policy.Version}
+	r.pending = &pendingRequest{description: Pending{
+		RequestID: r.event.RequestID, Route: route.Name, Service: r.service, PolicyVersion: policy.Version,
+		Started: now, Received: time.Now(),
+	}}
 	r.affinityKey = string(ctx.Request.Header.Peek(f.HeaderNames.AffinityKey))
 	if r.affinityKey == "" {
 		r.affinityKey = r.event.RequestID
@@ -185,6 +192,7 @@
 func (r *requestState) sendAttempt(ctx context.Context, choice placer.Choice) exchanger.Result {
 	r.tried = append(r.tried, choice.Upstream.Name)
 	r.event.Upstream = choice.Upstream.Name
+	r.pending.upstream.Store(&choice.Upstream.Name)
 	r.event.Limit, r.event.LimitInterval = choice.Limit, choice.LimitInterval
 	span := r.forwarder.Tracer.Start(r.span.Traceparent(), "entry.attempt")
 	span.SetAttribute("upstream", string(choice.Upstream.Name))
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -82,6 +82,7 @@
 	RequestOutcomeUnknown  = Event{502, "request-outcome-unknown", zerolog.WarnLevel, "It is unknown whether an upstream ran a request."}
 	RequestRetried         = Event{503, "request-retried", zerolog.WarnLevel, "A request is retried."}
 	UpstreamFailed         = Event{511, "upstream-failed", zerolog.WarnLevel, "A client received an upstream's own error response."}
+	RequestCut             = Event{518, "request-cut", zerolog.WarnLevel, "The host ended before it could answer a request that it had read."}
 	RequestRefused         = Event{504, "request-refused", zerolog.WarnLevel, "The host answered a request with an error of its own."}
 
 	UpstreamUnreadable = Event{505, "upstream-unreadable", zerolog.WarnLevel, "An upstream's registration is invalid; it gets no requests."}
@@ -124,7 +125,7 @@
 	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamAnswerRejected, RequestOutcomeUnknown,
-	RequestRetried, RequestRefused, UpstreamFailed,
+	RequestRetried, RequestRefused, RequestCut, UpstreamFailed,
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
