Refuse what a stopping host cannot await

Cause: after it has closed its listener and its idle connections a host still has connections on which nothing or half a request has arrived. It passed on whatever came on them until its last moment, also when the upstream had no time left to answer, and cut it at the end of the grace period. No decision about a request knew that the host would end.

Change: the forwarder gets the schedule of the stop: until when clients may still be sent here, and when the host ends. After the first time an attempt is made only if the response is due before the second; otherwise the request is refused at once with 503, cause host-stopping, which is true: it has not run. The decision is made for each attempt, so a request whose body comes late, that was held or that another upstream shed is treated alike. While clients may still be sent here requests are forwarded as before: a refused client could be sent to the same host again. The two times are absolute now, so that a late start of the second part does not move the end. A stop that only closes silent connections is no longer an error (exit status 1).

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -220,12 +220,12 @@
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	stopped := make(chan error, 1)
-	group.Go(func() { stopped <- c.forwarder.Run(serving, clients, c.drainTimeout) })
+	group.Go(func() { stopped <- c.forwarder.Run(serving, clients) })
 	var err error
 	select {
 	case err = <-stopped:
 	case <-ctx.Done():
-		c.startDraining()
+		c.startDraining(time.Now())
 		stopServing()
 		err = <-stopped
 	}
--- a/entry/controller/stop.go
+++ b/entry/controller/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/logger"
 )
 
@@ -19,24 +20,26 @@
 
 // startDraining announces that the host takes no more requests, and waits until
 // clients no longer use lists of hosts that include it.
-func (c *Controller) startDraining() {
+func (c *Controller) startDraining(now time.Time) {
+	schedule := c.drainSchedule(now)
 	c.isDraining.Store(true)
 	c.roster.SetReady(false)
-	c.forwarder.StartDraining()
+	c.forwarder.StartDraining(schedule)
 	c.Log.Event(logger.HostLeaving).Int64("open", c.forwarder.InFlight()).Send()
 	if c.Unregister != nil {
 		go c.Unregister()
 	}
-	time.Sleep(c.drainDelay())
+	time.Sleep(time.Until(schedule.ListedUntil))
 }
 
-func (c *Controller) drainDelay() time.Duration {
-	return min(maxDrainDelay, time.Duration(c.gracePeriod.Load())/drainDelayDivisor)
-}
-
-// drainTimeout returns how long requests in flight may take after the drain delay.
-func (c *Controller) drainTimeout() time.Duration {
-	return max(time.Duration(c.gracePeriod.Load())-c.drainDelay()-exitMargin, exitMargin)
+// drainSchedule returns the times of a graceful stop that starts now.
+func (c *Controller) drainSchedule(now time.Time) forwarder.DrainSchedule {
+	gracePeriod := time.Duration(c.gracePeriod.Load())
+	drainDelay := min(maxDrainDelay, gracePeriod/drainDelayDivisor)
+	return forwarder.DrainSchedule{
+		ListedUntil: now.Add(drainDelay),
+		End:         now.Add(max(gracePeriod-exitMargin, drainDelay+exitMargin)),
+	}
 }
 
 // recordStop logs the end of the host, and each request that is cut by it.
@@ -48,6 +51,9 @@
 			Str("upstream", string(p.Upstream)).Uint64("policy", p.PolicyVersion).
 			Dur("took", now.Sub(p.Started)).Dur("since-body", now.Sub(p.Received)).Send()
 	}
+	if len(cut) > 0 {
+		c.Log.Event(logger.HostStopTimeout).Int("in-flight", len(cut)).Send()
+	}
 	c.Log.Event(logger.HostStopped).Int64("open", c.forwarder.InFlight()).Int("cut", len(cut)).Send()
 }
 
--- /dev/null
+++ b/entry/forwarder/drain_test.go
@@ -0,0 +1,109 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/endiverun/endiverun/entry/forwarder"
+)
+
+// TestDrainingRefusesWhatItCannotAwait guards against requests that a host passes on at the end
+// of its graceful stop and cuts before their response. The route's timeout is 2 s.
+func TestDrainingRefusesWhatItCannotAwait(t *testing.T) {
+	tests := []struct {
+		name                string
+		listedFor, endsIn   time.Duration
+		wantStatus, wantRun int
+	}{
+		{"clients may still be sent here", time.Minute, time.Minute, fasthttp.StatusOK, 1},
+		{"clients may still be sent here, short of time", time.Minute, time.Second, fasthttp.StatusOK, 1},
+		{"the response is due before the end", 0, time.Minute, fasthttp.StatusOK, 1},
+		{"the response may be due after the end", 0, time.Second, fasthttp.StatusServiceUnavailable, 0},
+		{"the end has passed", 0, 0, fasthttp.StatusServiceUnavailable, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := &fakeUpstream{response: completeResponse}
+			h := newHost(t, orderRoute, u)
+			now := time.Now()
+			h.StartDraining(forwarder.DrainSchedule{ListedUntil: now.Add(tt.listedFor), End: now.Add(tt.endsIn)})
+			response := sendRequest(t, h, "/o/1")
+			is.Equal(response.StatusCode(), tt.wantStatus)
+			is.True(response.ConnectionClose())
+			is.Equal(int(u.requests.Load()), tt.wantRun)
+			if tt.wantRun == 0 {
+				is.Equal(h.lastFailure.Load().Cause, "host-stopping")
+				is.True(len(response.Header.Peek(fasthttp.HeaderRetryAfter)) > 0)
+			}
+		})
+	}
+}
+
+// TestDrainingDuringBody guards against a request that is passed on, and later cut, because
+// its head came before the stop and its body at its end. The connection must also be closed.
+func TestDrainingDuringBody(t *testing.T) {
+	for _, framed := range []struct{ first, second string }{
+		{"Content-Length: 4\r\n\r\nbo", "dy"},
+		{"Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", "2\r\ndy\r\n0\r\n\r\n"},
+	} {
+		is := is.New(t)
+		u := &fakeUpstream{response: completeResponse}
+		h := newHost(t, orderRoute, u)
+		c := h.dial(t)
+		_, err := fmt.Fprintf(c, "POST /o/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: o1\r\nDeadline-Ms: 3000\r\n%s", framed.first)
+		is.NoErr(err)
+		for h.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		now := time.Now()
+		h.StartDraining(forwarder.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+		_, err = io.WriteString(c, framed.second)
+		is.NoErr(err)
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
+		is.True(response.ConnectionClose())
+		is.Equal(int(u.requests.Load()), 0)
+	}
+}
+
+// TestNoRetryNearTheEnd guards against a second attempt, after an upstream shed the first one,
+// for whose response a stopping host has no time left.
+func TestNoRetryNearTheEnd(t *testing.T) {
+	is := is.New(t)
+	full, other := &fakeUpstream{response: notExecutedResponse}, &fakeUpstream{response: notExecutedResponse}
+	h := newHost(t, orderRoute, full, other)
+	h.OnRetry = func(forwarder.Event) {
+		now := time.Now()
+		h.StartDraining(forwarder.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+	}
+	response := sendRequest(t, h, "/o/1")
+	is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(h.lastFailure.Load().Cause, "host-stopping")
+	is.Equal(full.requests.Load()+other.requests.Load(), int32(1))
+}
+
+// TestPendingNamesRequests checks the description of a request that an upstream still works
+// on when its host ends.
+func TestPendingNamesRequests(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{} // It never responds.
+	h := newHost(t, orderRoute, u)
+	is.Equal(len(h.Pending()), 0)
+	h.dial(t).send("/o/1")
+	for u.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	pending := h.Pending()
+	is.Equal(len(pending), 1)
+	is.Equal(pending[0].RequestID, "ror1")
+	is.Equal(string(pending[0].Upstream), "desk-0")
+	is.Equal(pending[0].PolicyVersion, uint64(3))
+	is.True(!pending[0].Received.Before(pending[0].Started))
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -12,7 +12,8 @@
 //
 //	f := &forwarder.Forwarder{HeaderNames: names, Placer: p, RetryBudget: r, Exchanger: e}
 //	f.SetPolicy(policy)
-//	err := f.Run(ctx, listener, drainTimeout)
+//	err := f.Run(ctx, listener)
+//	f.StartDraining(schedule) // Before ctx ends.
 package forwarder
 
 import (
@@ -121,15 +122,16 @@
 	OnRetry    func(Event)
 	OnFailure  func(Event)
 
-	policy     atomic.Pointer[core.RoutingPolicy]
-	splitter   splitter
-	held       heldRequests
-	returns    returnSchedule
-	pending    pendingRequests
-	inFlight   atomic.Int64
-	bodyBytes  atomic.Int64
-	isDraining atomic.Bool
-	server     *fasthttp.Server
+	policy    atomic.Pointer[core.RoutingPolicy]
+	splitter  splitter
+	held      heldRequests
+	returns   returnSchedule
+	pending   pendingRequests
+	inFlight  atomic.Int64
+	bodyBytes atomic.Int64
+	// drain is nil until StartDraining is called.
+	drain  atomic.Pointer[DrainSchedule]
+	server *fasthttp.Server
 }
 
 // SetPolicy replaces the routing policy.
@@ -147,16 +149,10 @@
 	return f.pending.list()
 }
 
-// StartDraining starts draining: from now on the host closes each client connection
-// after its next response. It may be called before ctx of Run ends, so that clients
-// leave while the host still accepts connections. Run calls it too when ctx ends.
-func (f *Forwarder) StartDraining() {
-	f.isDraining.Store(true)
-}
-
-// Run serves clients until ctx ends. Then it closes idle connections and waits
-// for requests in flight, for at most the time that drainTimeout returns.
-func (f *Forwarder) Run(ctx context.Context, listener net.Listener, drainTimeout func() time.Duration) error {
+// Run serves clients until ctx ends. Then it closes the listener and idle connections, and
+// waits for requests in flight until the end of the schedule of StartDraining, or not at all
+// if that was not called. Pending returns the requests that are then cut.
+func (f *Forwarder) Run(ctx context.Context, listener net.Listener) error {
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
 		ReadBufferSize:                readBufferSize,
@@ -183,10 +179,22 @@
 		return err
 	case <-ctx.Done():
 	}
-	f.StartDraining()
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), drainTimeout())
+	return f.shutDown(time.Now())
+}
+
+// shutDown ends the server. Connections on which no whole request arrives in time are closed;
+// they are no error.
+func (f *Forwarder) shutDown(now time.Time) error {
+	if !f.isDraining() {
+		f.StartDraining(DrainSchedule{ListedUntil: now, End: now})
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), f.drain.Load().End)
 	defer cancel()
-	return f.server.ShutdownWithContext(shutdownCtx)
+	err := f.server.ShutdownWithContext(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
 }
 
 // discardLogger discards the log lines of the HTTP library. The host logs its
@@ -213,9 +221,7 @@
 func (f *Forwarder) handle(ctx *fasthttp.RequestCtx) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.isDraining.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer f.closeIfDraining(ctx)
 	now := time.Now()
 	policy := f.awaitPolicy(f.holdDeadline(ctx, now))
 	if policy == nil {
--- a/entry/forwarder/hold.go
+++ b/entry/forwarder/hold.go
@@ -40,7 +40,7 @@
 		if policy := f.policy.Load(); policy != nil && (f.IsReady == nil || f.IsReady()) {
 			return policy
 		}
-		if f.isDraining.Load() || !time.Now().Before(deadline) {
+		if f.isDraining() || !time.Now().Before(deadline) {
 			return nil
 		}
 		time.Sleep(holdPollInterval)
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -67,6 +67,8 @@
 	// reopensIn is the time until the first upstream takes requests again, if none does now
 	// since they asked for a pause, otherwise 0.
 	reopensIn time.Duration
+	// isRefusedByStop says that the host drains and could not await the response.
+	isRefusedByStop bool
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -143,7 +145,7 @@
 // upstream is expected to respond in time or the retry budget allows no further
 // attempt.
 func (r *requestState) chooseUpstream(ctx context.Context, now time.Time) (placer.Choice, bool) {
-	if !now.Before(r.deadline) {
+	if !now.Before(r.deadline) || r.isTooLate(now) {
 		return placer.Choice{}, false
 	}
 	query := placer.Query{
@@ -161,6 +163,10 @@
 		return choice, false
 	}
 	r.queueWait = choice.QueueTime
+	if r.isTooLate(now) {
+		r.forwarder.Placer.Release(choice)
+		return choice, false
+	}
 	if r.isQueueTooLong(choice, now) {
 		r.forwarder.Placer.Release(choice)
 		r.event.Detail = "the expected queueing time is too long"
@@ -281,13 +287,9 @@
 		response.Header.Del(name)
 	}
 	response.Header.ResetConnectionClose()
-	closesConnection := r.forwarder.isDraining.Load()
 	response.Header.CopyTo(&r.requestCtx.Response.Header)
 	r.requestCtx.Response.SkipBody = response.SkipBody
 	r.forwardBody(result)
-	if closesConnection {
-		r.requestCtx.SetConnectionClose()
-	}
 	r.hasResponse = true
 	r.event.Status = response.StatusCode()
 	r.event.Duration = time.Since(r.start)
@@ -340,6 +342,11 @@
 		notify(r.forwarder.OnFailure, r.event)
 		return
 	}
+	if r.isRefusedByStop {
+		r.event.Detail = "the host stops and could not await the response"
+		r.forwarder.respondUnavailable(r.requestCtx, r.event, "host-stopping", minRetryAfter)
+		return
+	}
 	if r.room != nil {
 		r.refuseByLimit(time.Now())
 		return
