Move the schedule of a graceful stop to package core

Cause: endiverun-entry has a graceful stop too and needs the same rule; it stood in entry/forwarder and entry/controller, which that program does not use.

Change: core.DrainSchedule, with the constructor that reserves the exit margin. No behaviour changes.

--- /dev/null
+++ b/core/drain_test.go
@@ -0,0 +1,39 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// TestDrainSchedule guards against a request that a stopping host accepts although it ends
+// before the response is due, and against a stop that outlasts its grace period.
+func TestDrainSchedule(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name                   string
+		listedFor, gracePeriod time.Duration
+		// at and due are when the request is to be forwarded, and when its response is due.
+		at, due time.Duration
+		want    bool
+	}{
+		{"while clients may connect", 2 * time.Second, 10 * time.Second, time.Second, time.Minute, true},
+		{"due at the end", 2 * time.Second, 10 * time.Second, 2 * time.Second, 9600 * time.Millisecond, true},
+		{"due after the end", 2 * time.Second, 10 * time.Second, 2 * time.Second, 9601 * time.Millisecond, false},
+		{"after the end", 2 * time.Second, 10 * time.Second, 11 * time.Second, 12 * time.Second, false},
+		{"a short grace period", 2 * time.Second, time.Second, 2 * time.Second, 2400 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			schedule := core.NewDrainSchedule(tt.listedFor, tt.gracePeriod, now)
+			is.Equal(schedule.Allows(now.Add(tt.due), now.Add(tt.at)), tt.want)
+		})
+	}
+	is := is.New(t)
+	var none *core.DrainSchedule
+	is.True(none.Allows(now.Add(time.Hour), now))
+}
--- a/entry/controller/stop.go
+++ b/entry/controller/stop.go
@@ -3,14 +3,11 @@
 import (
 	"time"
 
-	"github.com/endiverun/endiverun/entry/forwarder"
+	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/entry/logger"
 )
 
 const (
-	// exitMargin is the part of the grace period that is reserved for the exit of
-	// the process.
-	exitMargin = 400 * time.Millisecond
 	// maxDrainDelay is how long after the start of a graceful stop clients may still
 	// connect because they use an older list of hosts.
 	maxDrainDelay = 2200 * time.Millisecond
@@ -21,7 +18,8 @@
 // startDraining announces that the host takes no more requests, and waits until
 // clients no longer use lists of hosts that include it.
 func (c *Controller) startDraining(now time.Time) {
-	schedule := c.drainSchedule(now)
+	gracePeriod := time.Duration(c.gracePeriod.Load())
+	schedule := core.NewDrainSchedule(min(maxDrainDelay, gracePeriod/drainDelayDivisor), gracePeriod, now)
 	c.isDraining.Store(true)
 	c.roster.SetReady(false)
 	c.forwarder.StartDraining(schedule)
@@ -32,16 +30,6 @@
 	time.Sleep(time.Until(schedule.ListedUntil))
 }
 
-// drainSchedule returns the times of a graceful stop that starts now.
-func (c *Controller) drainSchedule(now time.Time) forwarder.DrainSchedule {
-	gracePeriod := time.Duration(c.gracePeriod.Load())
-	drainDelay := min(maxDrainDelay, gracePeriod/drainDelayDivisor)
-	return forwarder.DrainSchedule{
-		ListedUntil: now.Add(drainDelay),
-		End:         now.Add(max(gracePeriod-exitMargin, drainDelay+exitMargin)),
-	}
-}
-
 // recordStop logs the end of the host, and each request that is cut by it.
 func (c *Controller) recordStop(now time.Time) {
 	cut := c.forwarder.Pending()
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/entry/forwarder"
 )
 
@@ -32,7 +33,7 @@
 			u := &fakeUpstream{response: completeResponse}
 			h := newHost(t, orderRoute, u)
 			now := time.Now()
-			h.StartDraining(forwarder.DrainSchedule{ListedUntil: now.Add(tt.listedFor), End: now.Add(tt.endsIn)})
+			h.StartDraining(core.DrainSchedule{ListedUntil: now.Add(tt.listedFor), End: now.Add(tt.endsIn)})
 			response := sendRequest(t, h, "/o/1")
 			is.Equal(response.StatusCode(), tt.wantStatus)
 			is.True(response.ConnectionClose())
@@ -62,7 +63,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		now := time.Now()
-		h.StartDraining(forwarder.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
 		_, err = io.WriteString(c, framed.second)
 		is.NoErr(err)
 		response, err := c.receive()
@@ -81,7 +82,7 @@
 	h := newHost(t, orderRoute, full, other)
 	h.OnRetry = func(forwarder.Event) {
 		now := time.Now()
-		h.StartDraining(forwarder.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
 	}
 	response := sendRequest(t, h, "/o/1")
 	is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -130,7 +130,7 @@
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 	// drain is nil until StartDraining is called.
-	drain  atomic.Pointer[DrainSchedule]
+	drain  atomic.Pointer[core.DrainSchedule]
 	server *fasthttp.Server
 }
 
@@ -186,7 +186,7 @@
 // they are no error.
 func (f *Forwarder) shutDown(now time.Time) error {
 	if !f.isDraining() {
-		f.StartDraining(DrainSchedule{ListedUntil: now, End: now})
+		f.StartDraining(core.DrainSchedule{ListedUntil: now, End: now})
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), f.drain.Load().End)
 	defer cancel()
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = func() {
 		now := time.Now()
-		h.StartDraining(forwarder.DrainSchedule{ListedUntil: now, End: now.Add(2 * time.Second)})
+		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(2 * time.Second)})
 		cancel()
 	}
 	go func() { h.done <- h.Run(ctx, listener) }()
