Refuse what a stopping endiverun-entry cannot await

What callers saw: requests that came late in the stop timeout, on connections opened before, were taken, passed on and run, and their connections closed without an answer.

No decision about a request knew that the host would end. In addition the stop took up to twice its timeout: the listener got a timeout of its own after the wait for requests in flight, and in that time the tasks that keep the tables of peers and upstreams had ended.

Change: the dispatcher gets the schedule of the stop and refuses attempts, claims and forwards whose deadline lies after its end with 503, kind stopping, as not run. Attempts are refused only after the key has been looked up, so a refusal stays true for a repeated request. There is one absolute end now; the listener closes its socket and idle connections after the 2.5 s in which clients may still come, and the tasks and the messenger run until it has finished.

The simulator's hosts get a schedule with an end after every deadline; its check that a stopping host refuses nothing is unchanged.

--- a/core/dispatcher/dispatch.go
+++ b/core/dispatcher/dispatch.go
@@ -83,6 +83,7 @@
 	if d.stage == stageValidate {
 		d.validate(now)
 	}
+	d.refuseIfTooLate(now)
 	if d.stage == stageClaim {
 		return d.expectResult(Step{Kind: StepClaimKey, Deadline: d.request.Deadline})
 	}
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -96,8 +96,10 @@
 	Attempts *deduplicator.Table
 
 	sequence atomic.Uint64
-	mu       sync.Mutex
-	queues   map[queueKey]*admitter.Queue[*Dispatch]
+	// drain is nil until StartDraining is called.
+	drain  atomic.Pointer[core.DrainSchedule]
+	mu     sync.Mutex
+	queues map[queueKey]*admitter.Queue[*Dispatch]
 	// localMembers and remoteMembers are the live members of this region and of other
 	// regions, as of viewedAt.
 	localMembers  []tracker.Member
--- a/core/dispatcher/waiter.go
+++ b/core/dispatcher/waiter.go
@@ -14,6 +14,9 @@
 	r := d.dispatcher
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !d.mayAwait(now) {
+		return d.endUnserved(core.RefusalStopping, stoppingDetail, now)
+	}
 	if !now.Before(d.request.Deadline) {
 		return d.endUnserved(core.RefusalDeadline, "no slot became free before the deadline", now)
 	}
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -31,8 +31,8 @@
 	// RefusalStaleHome means that the key's home has ended or cannot be reached, or that a
 	// later request with the key was refused.
 	RefusalStaleHome RefusalKind = "stale-home"
-	// RefusalStopping means that the host is stopping. No package of the hosts uses this kind
-	// at present; clients may handle it like RefusalStaleHome.
+	// RefusalStopping means that the host is stopping, and could not await the response.
+	// Clients handle it like RefusalStaleHome.
 	RefusalStopping RefusalKind = "stopping"
 	// RefusalNotReady means that the host has no configuration yet.
 	RefusalNotReady RefusalKind = "not-ready"
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -244,10 +244,13 @@
 	sim.lastFaultAt = sim.now
 }
 
+// stopTime is longer than the timeout of every request, so a stopping host refuses none.
+const stopTime = time.Hour
+
 // actLeave starts the graceful stop of a host.
 func (sim *simulation) actLeave(t *rapid.T) {
 	n := pick(t, sim.activeNodes(), "host")
-	n.steerer.StartDraining(n.now())
+	n.steerer.StartDraining(core.DrainSchedule{ListedUntil: n.now(), End: n.now().Add(stopTime)}, n.now())
 	_ = n.keeper.Release()
 }
 
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -128,8 +128,10 @@
 }
 
 // StartDraining starts draining the host for a graceful stop: the host gives up its roles, no
-// longer appears in routes, and finishes the requests that it has.
-func (s *Steerer) StartDraining(now time.Time) {
+// longer appears in routes, and finishes the requests that it has. It refuses those whose
+// responses it could not await until the end of the schedule.
+func (s *Steerer) StartDraining(schedule core.DrainSchedule, now time.Time) {
+	s.Dispatcher.StartDraining(schedule)
 	s.mu.Lock()
 	s.phase = core.PhaseLeaving
 	s.mu.Unlock()
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -6,7 +6,7 @@
 //		Address: "127.0.0.1:8080", MaxBody: limit, MaxConnections: 1000,
 //		Serve: serve, NewRequest: newRequest, Route: route, // and the other handlers
 //	}
-//	err := l.Run(ctx, stopTimeout)
+//	err := l.Run(ctx, func() time.Time { return stopEnd })
 //
 // All function fields except Listen must be set before Run. Paths:
 //
@@ -86,9 +86,9 @@
 	return l.inFlight.Load()
 }
 
-// Run serves until ctx ends. It then waits for requests in flight, for stopTimeout at
-// most.
-func (l *Listener) Run(ctx context.Context, stopTimeout time.Duration) error {
+// Run serves until ctx ends. It then closes the socket and idle connections, and waits for
+// requests in flight until the time that stopEnd returns.
+func (l *Listener) Run(ctx context.Context, stopEnd func() time.Time) error {
 	socket, err := l.listen()
 	if err != nil {
 		return err
@@ -103,7 +103,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	stopContext, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	stopContext, cancel := context.WithDeadline(context.Background(), stopEnd())
 	defer cancel()
 	return l.app.ShutdownWithContext(stopContext)
 }
--- a/entry/listener/listener_test.go
+++ b/entry/listener/listener_test.go
@@ -38,7 +38,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx, time.Second) }()
+	go func() { done <- l.Run(ctx, func() time.Time { return time.Now().Add(time.Second) }) }()
 	t.Cleanup(func() {
 		stop()
 		is.NoErr(<-done)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -86,6 +86,8 @@
 	peerCalls  atomic.Int64
 	sequence   atomic.Uint64
 	liveHosts  map[core.HostName]bool
+	// stopEnd is when the stop ends. It is set before the listener stops.
+	stopEnd time.Time
 }
 
 func (s *Server) now() time.Time {
@@ -108,7 +110,8 @@
 	var group conc.WaitGroup
 	failed := make(chan error, 2)
 	group.Go(func() { failed <- s.messenger.Run(taskContext) })
-	group.Go(func() { failed <- s.listener.Run(listenerContext, s.Settings.Limits.StopTimeout.Duration()) })
+	var listening conc.WaitGroup
+	listening.Go(func() { failed <- s.listener.Run(listenerContext, func() time.Time { return s.stopEnd }) })
 	for _, run := range s.backgroundTasks() {
 		group.Go(func() { run(taskContext) })
 	}
@@ -116,11 +119,13 @@
 	var err error
 	select {
 	case err = <-failed:
+		s.stopEnd = time.Now()
 	case <-ctx.Done():
-		s.drain()
+		s.drain(s.now())
 	}
 	stopListener()
-	s.waitUntilIdle(time.Now().Add(idlePollInterval * 5))
+	listening.Wait()
+	s.finishRequests()
 	stopTasks()
 	s.storer.Close()
 	group.Wait()
@@ -230,16 +235,20 @@
 	}
 }
 
-// drain announces that the host is draining and waits until no request is in flight,
-// for the stop timeout at most.
-func (s *Server) drain() {
-	now := s.now()
+// drain announces that the host is draining, and waits until clients no longer use routes
+// that include it.
+func (s *Server) drain(now time.Time) {
+	schedule := core.NewDrainSchedule(drainGracePeriod, s.Settings.Limits.StopTimeout.Duration(), now)
+	s.stopEnd = schedule.End
 	s.log.Event(logger.HostLeaving).Send()
-	s.steerer.StartDraining(now)
+	s.steerer.StartDraining(schedule, now)
 	s.sendHeartbeats(now)
-	deadline := time.Now().Add(s.Settings.Limits.StopTimeout.Duration())
-	time.Sleep(drainGracePeriod)
-	if !s.waitUntilIdle(deadline) {
+	time.Sleep(time.Until(schedule.ListedUntil))
+}
+
+// finishRequests waits until no request is in flight, until the end of the stop at most.
+func (s *Server) finishRequests() {
+	if !s.waitUntilIdle(s.stopEnd) {
 		s.log.Event(logger.HostStopTimeout).Int("in-flight", s.steerer.Balancer.InFlight()).Send()
 	}
 	_ = s.slotKeeper.Release()
