Test that a stopping host cuts no request of its peers

Guards against the same fault for requests that other hosts forward to a stopping host because it is the home of their keys.

--- a/demo/runner/stop_test.go
+++ b/demo/runner/stop_test.go
@@ -228,7 +228,7 @@
 func TestServerStopCutsNoPeerRequest(t *testing.T) {
 	r := startDeployment(t)
 	h := r.hosts[0]
-	const n = 24
+	const n = 100
 	requests := make([]lateRequest, n)
 	for i := range requests {
 		q := lateRequest{
