Send the replies to peers before a host ends

What callers saw: a request that another host had forwarded to a stopping host, because it is the home of the key, could end as 502, outcome-unknown, although it had been answered. The same holds for the reply to a query about an attempt.

Cause: a call counted as in flight until its handler returned. The reply, which is paced by the bandwidth between regions, may take much longer; the stop closed the connections before.

Change: the messenger counts a call until its reply is written, and the stop waits for that. Connections stay open for 0.2 s after it, for what QUIC has not sent yet; calls that arrive in this time are refused like those of an earlier incarnation.

--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -29,6 +29,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -61,6 +62,9 @@
 	acceptRoundTrips  = 4
 	// readTimeout is the timeout for reading a call.
 	readTimeout = 10 * time.Second
+	// closeDelay is how long connections stay open after the end of Run's context, since
+	// QUIC does not report when a reply that was sent has been delivered.
+	closeDelay = 200 * time.Millisecond
 )
 
 // Application error codes of closed connections.
@@ -102,6 +106,7 @@
 	mu          sync.Mutex
 	connections map[string]*connection
 	roundTrips  map[core.ZoneName]time.Duration
+	inFlight    atomic.Int64
 }
 
 // connection is an outgoing connection that is open or being opened. The other fields
@@ -125,7 +130,13 @@
 	}
 }
 
-// Run accepts connections of other hosts until ctx ends, then closes all connections.
+// InFlight returns the number of calls of other hosts whose replies have not been sent.
+func (m *Messenger) InFlight() int64 {
+	return m.inFlight.Load()
+}
+
+// Run accepts connections of other hosts until ctx ends, then closes all connections. Calls
+// that arrive in between are refused.
 func (m *Messenger) Run(ctx context.Context) error {
 	socket, err := m.listen()
 	if err != nil {
@@ -137,14 +148,17 @@
 		_ = socket.Close()
 		return err
 	}
+	open, closeNow := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeNow()
+	context.AfterFunc(ctx, func() { time.AfterFunc(closeDelay, closeNow) })
 	var group conc.WaitGroup
 	group.Go(func() { m.closeUnused(ctx) })
 	for {
-		conn, err := listener.Accept(ctx)
+		conn, err := listener.Accept(open)
 		if err != nil {
 			break
 		}
-		group.Go(func() { m.serveConnection(ctx, conn) })
+		group.Go(func() { m.serveConnection(ctx, open, conn) })
 	}
 	m.closeAll()
 	_ = listener.Close()
@@ -179,12 +193,13 @@
 	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(parsed.Addr(), 0)))
 }
 
-// serveConnection receives the records and calls of one peer.
-func (m *Messenger) serveConnection(ctx context.Context, conn *quic.Conn) {
+// serveConnection receives the records and calls of one peer until open ends. It refuses
+// calls after the end of ctx.
+func (m *Messenger) serveConnection(ctx, open context.Context, conn *quic.Conn) {
 	var group conc.WaitGroup
 	group.Go(func() { m.receiveRecords(ctx, conn) })
 	for {
-		stream, err := conn.AcceptStream(ctx)
+		stream, err := conn.AcceptStream(open)
 		if err != nil {
 			break
 		}
@@ -237,6 +252,8 @@
 		stream.CancelWrite(0)
 		return
 	}
+	m.inFlight.Add(1)
+	defer m.inFlight.Add(-1)
 	if _, err := stream.Write([]byte{byte(frameAccepted)}); err != nil {
 		return
 	}
@@ -251,7 +268,8 @@
 
 // handleCall processes a call. It sends running frames until the reply is known.
 func (m *Messenger) handleCall(ctx context.Context, call Call, stream *quic.Stream) Reply {
-	if call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation {
+	isOther := call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation
+	if isOther || ctx.Err() != nil {
 		return staleIncarnationReply(call)
 	}
 	done := make(chan struct{})
@@ -263,8 +281,8 @@
 	return reply
 }
 
-// staleIncarnationReply returns the reply to a call for an earlier incarnation of this
-// host. A request that arrives now was not run. The outcome of an attempt that was
+// staleIncarnationReply returns the reply to a call for an incarnation of this host that
+// has ended, or ends now. A request that arrives now was not run. The outcome of an attempt that was
 // forwarded to the earlier incarnation is unknown.
 func staleIncarnationReply(call Call) Reply {
 	outcome := core.RefusedOutcome(core.RefusalStaleHome, "the host has been replaced", 0)
--- /dev/null
+++ b/entry/messenger/stop_test.go
@@ -0,0 +1,116 @@
+package messenger_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/messenger"
+)
+
+// newCertificate returns a self-signed certificate and its key as PEM texts.
+func newCertificate(t *testing.T) (certificate, key string) {
+	t.Helper()
+	is := is.New(t)
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{messenger.ServerName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	is.NoErr(err)
+	encoded, err := x509.MarshalECPrivateKey(private)
+	is.NoErr(err)
+	certificate = string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	key = string(pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encoded}))
+	return certificate, key
+}
+
+// newPair returns two messengers in different regions.
+func newPair(t *testing.T) (from, to *messenger.Messenger) {
+	t.Helper()
+	is := is.New(t)
+	certificate, key := newCertificate(t)
+	server, client, err := messenger.TLSConfigs(certificate, key, certificate)
+	is.NoErr(err)
+	socket, err := messenger.ListenUDP("127.0.0.1:0")
+	is.NoErr(err)
+	newMessenger := func(name core.HostName, region core.RegionName, address string) *messenger.Messenger {
+		self := core.Host{
+			Name: name, Incarnation: 1, Zone: core.Zone{Name: core.ZoneName(region + "-1"), Region: region},
+			ClientAddress: "127.0.0.1:1", PeerAddress: address,
+		}
+		return &messenger.Messenger{Self: self, ServerTLS: server, ClientTLS: client, MaxBody: core.Mebibyte}
+	}
+	from = newMessenger("from", "a", "127.0.0.1:0")
+	to = newMessenger("to", "b", socket.LocalAddr().String())
+	to.ListenSocket = func(string) (net.PacketConn, error) { return socket, nil }
+	return from, to
+}
+
+// start runs a messenger until the returned function is called.
+func start(t *testing.T, m *messenger.Messenger) (stop func()) {
+	t.Helper()
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	t.Cleanup(func() {
+		stop()
+		is.NoErr(<-done)
+	})
+	go func() { done <- m.Run(ctx) }()
+	return stop
+}
+
+// send sends a call again until it arrives, and returns its reply.
+func send(from, to *messenger.Messenger) (messenger.Reply, error) {
+	call := messenger.Call{Kind: messenger.CallQueryAttempt, ToIncarnation: to.Self.Incarnation, Attempt: "from.1.1"}
+	for {
+		reply, err := from.Call(to.Self, call, time.Now().Add(time.Minute))
+		var callError *messenger.CallError
+		if !errors.As(err, &callError) || callError.MayHaveArrived {
+			return reply, err
+		}
+	}
+}
+
+// TestStopDeliversReplies guards against a stop that cuts the reply to a call of another host,
+// because the call had been handled but its reply not been sent.
+func TestStopDeliversReplies(t *testing.T) {
+	is := is.New(t)
+	from, to := newPair(t)
+	handled := make(chan struct{})
+	body := make([]byte, 64*core.Kibibyte)
+	to.Handle = func(context.Context, messenger.Call) messenger.Reply {
+		close(handled)
+		return messenger.Reply{RunState: core.Answered, Response: &core.Response{Status: 200, Body: body}}
+	}
+	to.ReserveBandwidth = func(core.RegionName, core.Bytes) bool {
+		time.Sleep(5 * time.Millisecond)
+		return true
+	}
+	stop := start(t, to)
+	go func() {
+		<-handled
+		for to.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+	}()
+	reply, err := send(from, to)
+	is.NoErr(err)
+	is.Equal(len(reply.Response.Body), len(body))
+}
--- a/entry/server/request.go
+++ b/entry/server/request.go
@@ -276,8 +276,6 @@
 func (s *Server) handleCall(_ context.Context, call messenger.Call) messenger.Reply {
 	switch call.Kind {
 	case messenger.CallForward, messenger.CallForwardHome:
-		s.peerCalls.Add(1)
-		defer s.peerCalls.Add(-1)
 		return s.handleRequest(call)
 	case messenger.CallQueryAttempt:
 		return s.handleQuery(call)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -83,7 +83,6 @@
 	archive    sequencer.TicketStore
 	slotKeeper *limiter.SlotManager
 	platform   platformState
-	peerCalls  atomic.Int64
 	sequence   atomic.Uint64
 	liveHosts  map[core.HostName]bool
 	// stopEnd is when the stop ends. It is set before the listener stops.
@@ -258,7 +257,7 @@
 // before the deadline.
 func (s *Server) waitUntilIdle(deadline time.Time) bool {
 	for time.Now().Before(deadline) {
-		if s.listener.InFlight() == 0 && s.peerCalls.Load() == 0 && s.steerer.Balancer.InFlight() == 0 {
+		if s.listener.InFlight() == 0 && s.messenger.InFlight() == 0 && s.steerer.Balancer.InFlight() == 0 {
 			return true
 		}
 		time.Sleep(idlePollInterval)
