Close a client's connection if the stop began during its request

What callers saw: nothing yet; found while looking for requests that a stop cuts. A response to a request that was in flight when the stop began left the connection open. The stop then closes it as idle, at a moment when the client may be sending its next request.

Cause: whether the host drains was asked before the request was handled, not after.

Change: it is asked when the response is complete, as in entry/forwarder.

Evidence: TestStopDuringRequestClosesConnection failed before and passes now.

--- a/entry/listener/handler.go
+++ b/entry/listener/handler.go
@@ -104,9 +104,7 @@
 func (l *Listener) serve(c fiber.Ctx) error {
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
-	if l.IsDraining() {
-		c.RequestCtx().SetConnectionClose()
-	}
+	defer l.closeIfDraining(c)
 	incoming, err := readRequest(c)
 	if err != nil {
 		return writeProblem(c, core.RefusedOutcome(core.RefusalKeyInvalid, err.Error(), 0), fiber.StatusBadRequest)
@@ -124,6 +122,14 @@
 	return writeResponse(c, outcome.Response)
 }
 
+// closeIfDraining makes the server close the client's connection after the response if the
+// host drains.
+func (l *Listener) closeIfDraining(c fiber.Ctx) {
+	if l.IsDraining() {
+		c.RequestCtx().SetConnectionClose()
+	}
+}
+
 func writeResponse(c fiber.Ctx, response *core.Response) error {
 	for _, header := range response.Headers {
 		c.Response().Header.Add(header.Name, header.Value)
--- a/entry/listener/listener_test.go
+++ b/entry/listener/listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,13 @@
 
 // startListener starts a listener whose services echo the path. It returns the address.
 func startListener(t *testing.T) string {
+	t.Helper()
+	return startDrainingListener(t, &atomic.Bool{})
+}
+
+// startDrainingListener starts a listener that drains when a request to the service "drain" has
+// arrived.
+func startDrainingListener(t *testing.T, isDraining *atomic.Bool) string {
 	t.Helper()
 	is := is.New(t)
 	var config net.ListenConfig
@@ -27,14 +35,17 @@
 		MaxBody: 64 * core.Kibibyte, MaxConnections: 100, OperatorToken: "secret",
 		Listen: func(string) (net.Listener, error) { return socket, nil },
 		NewRequest: func(incoming listener.ClientRequest) core.Request {
-			return core.Request{Path: incoming.Path, Body: incoming.Body, Key: incoming.Key}
+			return core.Request{Service: incoming.Service, Path: incoming.Path, Body: incoming.Body, Key: incoming.Key}
 		},
 		Serve: func(_ context.Context, r core.Request) core.Outcome {
+			if r.Service == "drain" {
+				isDraining.Store(true)
+			}
 			return core.AnsweredOutcome(&core.Response{Status: 200, Body: []byte(r.Path)})
 		},
 		Status:     func() any { return map[string]string{"host": "h"} },
 		IsReady:    func() bool { return true },
-		IsDraining: func() bool { return false },
+		IsDraining: isDraining.Load,
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -90,3 +101,20 @@
 	is.NoErr(response.Body.Close())
 	is.Equal(response.StatusCode, http.StatusOK) // still serves after invalid requests
 }
+
+// TestStopDuringRequestClosesConnection guards against a connection that stays open after a
+// request during which the stop began: the stop could then close it as idle while the client sends
+// the next request.
+func TestStopDuringRequestClosesConnection(t *testing.T) {
+	is := is.New(t)
+	address := startDrainingListener(t, &atomic.Bool{})
+	response, err := http.Get("http://" + address + "/s/lookup/a") //nolint:noctx // The test has a timeout.
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(!response.Close)
+	response, err = http.Get("http://" + address + "/s/drain/a") //nolint:noctx // The test has a timeout.
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+}
