A request is pending until its response is written

The detector's connection tells now when a response has been written: before the next read, or when it is closed. Requests are counted and described from their header to that moment; the line request-cut says whether the response was being written. The number of requests in flight comes from the same table.

--- a/core/drain.go
+++ b/core/drain.go
@@ -2,30 +2,36 @@
 
 import "time"
 
-// exitMargin is the part of a host's grace period that is reserved for the exit of the process.
-const exitMargin = 400 * time.Millisecond
+const (
+	// exitMargin is the part of a host's grace period that is reserved for the exit of the
+	// process, and exitMarginDivisor limits it to a fraction of a short grace period.
+	exitMargin        = 400 * time.Millisecond
+	exitMarginDivisor = 6
+)
 
 // DrainSchedule holds the times of a graceful stop of a host.
 type DrainSchedule struct {
-	// ListedUntil is until when clients may connect because they use an older list of hosts.
-	ListedUntil time.Time
+	// AcceptsUntil is until when the host accepts connections, since clients may still use an
+	// older list of hosts.
+	AcceptsUntil time.Time
 	// End is when the host ends. Requests that are in flight then are cut.
 	End time.Time
 }
 
 // NewDrainSchedule returns the schedule of a stop that starts now, in which clients may
-// connect for the time listedFor and the process is killed after the grace period.
-func NewDrainSchedule(listedFor, gracePeriod time.Duration, now time.Time) DrainSchedule {
+// connect for the time acceptsFor and the process is killed after the grace period.
+func NewDrainSchedule(acceptsFor, gracePeriod time.Duration, now time.Time) DrainSchedule {
+	margin := min(exitMargin, gracePeriod/exitMarginDivisor)
 	return DrainSchedule{
-		ListedUntil: now.Add(listedFor),
-		End:         now.Add(max(gracePeriod-exitMargin, listedFor+exitMargin)),
+		AcceptsUntil: now.Add(acceptsFor),
+		End:          now.Add(max(gracePeriod-margin, acceptsFor+margin)),
 	}
 }
 
 // Allows reports whether a request may be forwarded whose response is due at the given time.
-// After ListedUntil the host must be able to await the response: a client that is refused
+// After AcceptsUntil the host must be able to await the response: a client that is refused
 // then finds another host. Before it, the client might be sent to this host again. A nil
 // schedule, of a host that does not stop, allows every request.
 func (s *DrainSchedule) Allows(responseDeadline, now time.Time) bool {
-	return s == nil || now.Before(s.ListedUntil) || !responseDeadline.After(s.End)
+	return s == nil || now.Before(s.AcceptsUntil) || !responseDeadline.After(s.End)
 }
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -14,8 +14,8 @@
 func TestDrainSchedule(t *testing.T) {
 	now := time.Unix(100, 0)
 	tests := []struct {
-		name                   string
-		listedFor, gracePeriod time.Duration
+		name                    string
+		acceptsFor, gracePeriod time.Duration
 		// at and due are when the request is to be forwarded, and when its response is due.
 		at, due time.Duration
 		want    bool
@@ -24,12 +24,14 @@
 		{"due at the end", 2 * time.Second, 10 * time.Second, 2 * time.Second, 9600 * time.Millisecond, true},
 		{"due after the end", 2 * time.Second, 10 * time.Second, 2 * time.Second, 9601 * time.Millisecond, false},
 		{"after the end", 2 * time.Second, 10 * time.Second, 11 * time.Second, 12 * time.Second, false},
-		{"a short grace period", 2 * time.Second, time.Second, 2 * time.Second, 2400 * time.Millisecond, true},
+		{"a short grace period", 400 * time.Millisecond, 1200 * time.Millisecond, 400 * time.Millisecond, time.Second, true},
+		{"short of grace, late", 400 * time.Millisecond, 1200 * time.Millisecond, 400 * time.Millisecond, 1001 * time.Millisecond, false},
+		{"a grace period shorter than the first part", 2 * time.Second, time.Second, 2 * time.Second, 2160 * time.Millisecond, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			schedule := core.NewDrainSchedule(tt.listedFor, tt.gracePeriod, now)
+			schedule := core.NewDrainSchedule(tt.acceptsFor, tt.gracePeriod, now)
 			is.Equal(schedule.Allows(now.Add(tt.due), now.Add(tt.at)), tt.want)
 		})
 	}
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -250,7 +250,7 @@
 // actLeave starts the graceful stop of a host.
 func (sim *simulation) actLeave(t *rapid.T) {
 	n := pick(t, sim.activeNodes(), "host")
-	n.steerer.StartDraining(core.DrainSchedule{ListedUntil: n.now(), End: n.now().Add(stopTime)}, n.now())
+	n.steerer.StartDraining(core.DrainSchedule{AcceptsUntil: n.now(), End: n.now().Add(stopTime)}, n.now())
 	_ = n.keeper.Release()
 }
 
--- a/entry/controller/stop.go
+++ b/entry/controller/stop.go
@@ -27,7 +27,7 @@
 	if c.Unregister != nil {
 		go c.Unregister()
 	}
-	time.Sleep(time.Until(schedule.ListedUntil))
+	time.Sleep(time.Until(schedule.AcceptsUntil))
 }
 
 // recordStop logs the end of the host, and each request that is cut by it.
@@ -37,7 +37,7 @@
 		c.Log.Event(logger.RequestCut).
 			Str("request", p.RequestID).Str("route", string(p.Route)).Str("service", string(p.Service)).
 			Str("upstream", string(p.Upstream)).Uint64("policy", p.PolicyVersion).
-			Dur("took", now.Sub(p.Started)).Dur("since-body", now.Sub(p.Received)).Send()
+			Bool("answered", p.IsAnswered).Dur("took", now.Sub(p.Started)).Dur("since-body", now.Sub(p.Received)).Send()
 	}
 	if len(cut) > 0 {
 		c.Log.Event(logger.HostStopTimeout).Int("in-flight", len(cut)).Send()
--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -1,5 +1,5 @@
 // Package detector detects clients that close their connection while the server
-// handles one of their requests.
+// handles one of their requests, and the moment at which a response has been written.
 //
 // An HTTP server does not read from a connection while it handles a request, so it
 // notices a closed connection only when it writes the response. The detector reads
@@ -13,6 +13,7 @@
 //	if conn, ok := ctx.Conn().(*detector.Conn); ok {
 //		conn.Watch(cancel)
 //		defer conn.Unwatch()
+//		conn.AfterResponse(release)
 //	}
 //
 // Lock order: no other lock is taken while the lock of a Conn is held.
@@ -23,6 +24,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,6 +52,8 @@
 	net.Conn
 	// buffered holds the bytes that were read ahead and not yet returned by Read.
 	buffered []byte
+	// afterResponse is the callback of AfterResponse; nil if none is to be called.
+	afterResponse atomic.Pointer[func()]
 
 	mu        sync.Mutex
 	isWatched bool
@@ -57,9 +61,30 @@
 	done chan struct{}
 }
 
+// AfterResponse calls the function once the server has written the response to the request
+// that it handles: before it reads the next request, or when it closes the connection.
+func (c *Conn) AfterResponse(callback func()) {
+	c.replaceAfterResponse(&callback)
+}
+
+// replaceAfterResponse sets the callback of AfterResponse and calls the one before, since its
+// response has been written. A request that was read with its predecessor needs no Read.
+func (c *Conn) replaceAfterResponse(next *func()) {
+	if callback := c.afterResponse.Swap(next); callback != nil {
+		(*callback)()
+	}
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.replaceAfterResponse(nil)
+	return c.Conn.Close()
+}
+
 // Read returns the buffered bytes if there are any, and else reads from the
 // connection.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.replaceAfterResponse(nil)
 	if len(c.buffered) == 0 {
 		return c.Conn.Read(p)
 	}
--- a/entry/forwarder/drain.go
+++ b/entry/forwarder/drain.go
@@ -29,9 +29,8 @@
 	}
 }
 
-// isTooLate reports whether the host drains and may end before the response to the request
-// is due. The request must not be forwarded then.
-func (r *requestState) isTooLate(now time.Time) bool {
-	r.isRefusedByStop = !r.forwarder.drain.Load().Allows(r.responseDeadline, now)
-	return r.isRefusedByStop
+// isRefusedByStop reports whether the host drains and may end before the response to the
+// request is due, so that no further attempt may be made.
+func (r *requestState) isRefusedByStop(now time.Time) bool {
+	return !r.forwarder.drain.Load().Allows(r.responseDeadline, now)
 }
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 func TestDrainingRefusesWhatItCannotAwait(t *testing.T) {
 	tests := []struct {
 		name                string
-		listedFor, endsIn   time.Duration
+		acceptsFor, endsIn  time.Duration
 		wantStatus, wantRun int
 	}{
 		{"clients may still be sent here", time.Minute, time.Minute, fasthttp.StatusOK, 1},
@@ -33,7 +34,7 @@
 			u := &fakeUpstream{response: completeResponse}
 			h := newHost(t, orderRoute, u)
 			now := time.Now()
-			h.StartDraining(core.DrainSchedule{ListedUntil: now.Add(tt.listedFor), End: now.Add(tt.endsIn)})
+			h.StartDraining(core.DrainSchedule{AcceptsUntil: now.Add(tt.acceptsFor), End: now.Add(tt.endsIn)})
 			response := sendRequest(t, h, "/o/1")
 			is.Equal(response.StatusCode(), tt.wantStatus)
 			is.True(response.ConnectionClose())
@@ -63,7 +64,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		now := time.Now()
-		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+		h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(time.Second)})
 		_, err = io.WriteString(c, framed.second)
 		is.NoErr(err)
 		response, err := c.receive()
@@ -82,7 +83,7 @@
 	h := newHost(t, orderRoute, full, other)
 	h.OnRetry = func(forwarder.Event) {
 		now := time.Now()
-		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(time.Second)})
+		h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(time.Second)})
 	}
 	response := sendRequest(t, h, "/o/1")
 	is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
@@ -90,6 +91,72 @@
 	is.Equal(full.requests.Load()+other.requests.Load(), int32(1))
 }
 
+// TestHeldRequestNearTheEnd guards against a request that is held for a cold upstream until the
+// host no longer accepts connections, and is then passed on although there is no time left for
+// the response.
+func TestHeldRequestNearTheEnd(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{response: completeResponse}
+	h := newHost(t, orderRoute, u)
+	h.pacer.SetLimit(0, 5) // Five requests a second.
+	h.placer.MarkCold("desk-0", time.Minute, time.Now())
+	is.Equal(sendRequest(t, h, "/o/1").StatusCode(), fasthttp.StatusOK)
+	c := h.dial(t)
+	c.send("/o/2")
+	for h.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: now.Add(100 * time.Millisecond), End: now.Add(time.Second)})
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(h.lastFailure.Load().Cause, "host-stopping")
+	is.Equal(int(u.requests.Load()), 1)
+}
+
+// TestSilentConnectionIsNoFailure guards against a stop that counts as failed because of a
+// connection on which no request arrived.
+func TestSilentConnectionIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t, orderRoute, &fakeUpstream{response: completeResponse})
+	silent := h.dial(t)
+	is.Equal(sendRequest(t, h, "/o/1").StatusCode(), fasthttp.StatusOK) // The silent connection was accepted before.
+	h.stopWithin(200 * time.Millisecond)
+	is.NoErr(<-h.done)
+	is.Equal(len(h.Pending()), 0)
+	is.NoErr(silent.Close())
+}
+
+// TestPendingUntilWritten guards against a response that is cut at the end of the host while it
+// is written to a slow client, and that nothing names: the handler has returned by then.
+func TestPendingUntilWritten(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	u := &fakeUpstream{response: fmt.Sprintf(
+		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))}
+	h := newHost(t, orderRoute, u)
+	c := h.dial(t) // It does not read.
+	c.send("/o/1")
+	for {
+		if pending := h.Pending(); len(pending) == 1 && pending[0].IsAnswered {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	h.stopWithin(100 * time.Millisecond)
+	is.NoErr(<-h.done)
+	pending := h.Pending()
+	is.Equal(len(pending), 1)
+	is.True(pending[0].IsAnswered)
+	response, err := c.receive()
+	is.NoErr(err) // The connection ends with the process.
+	is.Equal(len(response.Body()), size)
+	for len(h.Pending()) > 0 || h.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestPendingNamesRequests checks the description of a request that an upstream still works
 // on when its host ends.
 func TestPendingNamesRequests(t *testing.T) {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -12,8 +12,9 @@
 //
 //	f := &forwarder.Forwarder{HeaderNames: names, Placer: p, RetryBudget: r, Exchanger: e}
 //	f.SetPolicy(policy)
-//	err := f.Run(ctx, listener)
-//	f.StartDraining(schedule) // Before ctx ends.
+//	go func() { ended <- f.Run(ctx, listener) }()
+//	f.StartDraining(schedule)
+//	stop() // Ends ctx.
 package forwarder
 
 import (
@@ -127,7 +128,6 @@
 	held      heldRequests
 	returns   returnSchedule
 	pending   pendingRequests
-	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 	// drain is nil until StartDraining is called.
 	drain  atomic.Pointer[core.DrainSchedule]
@@ -139,12 +139,14 @@
 	f.policy.Store(policy)
 }
 
-// InFlight returns the number of requests in flight.
+// InFlight returns the number of requests in flight, from their header to the end of their
+// response.
 func (f *Forwarder) InFlight() int64 {
-	return f.inFlight.Load()
+	return int64(f.pending.count())
 }
 
-// Pending returns the requests that have been read and not yet answered, in no order.
+// Pending returns the requests that have been read and whose response has not been written, in
+// no order.
 func (f *Forwarder) Pending() []Pending {
 	return f.pending.list()
 }
@@ -186,7 +188,7 @@
 // they are no error.
 func (f *Forwarder) shutDown(now time.Time) error {
 	if !f.isDraining() {
-		f.StartDraining(core.DrainSchedule{ListedUntil: now, End: now})
+		f.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now})
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), f.drain.Load().End)
 	defer cancel()
@@ -219,10 +221,10 @@
 
 // handle serves one request.
 func (f *Forwarder) handle(ctx *fasthttp.RequestCtx) {
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
-	defer f.closeIfDraining(ctx)
 	now := time.Now()
+	request := f.pending.add(f.requestID(ctx), now)
+	defer f.pending.removeAfterResponse(ctx, request)
+	defer f.closeIfDraining(ctx)
 	policy := f.awaitPolicy(f.holdDeadline(ctx, now))
 	if policy == nil {
 		f.respondUnavailable(ctx, Event{RequestID: f.requestID(ctx)}, "no-policy", notReadyRetryAfter)
@@ -245,7 +247,7 @@
 		return
 	}
 	defer f.bodyBytes.Add(-int64(len(body)))
-	f.serve(ctx, policy, route, body, now)
+	f.serve(f.newRequestState(ctx, policy, route, body, request))
 }
 
 const (
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -111,8 +111,9 @@
 type testHost struct {
 	*forwarder.Forwarder
 	address string
-	stop    context.CancelFunc
-	done    chan error
+	// stopWithin stops the host gracefully within a time.
+	stopWithin func(timeout time.Duration)
+	done       chan error
 	// lastFailure is the last event that was passed to OnFailure.
 	lastFailure atomic.Pointer[forwarder.Event]
 	placer      *placer.Placer
@@ -163,9 +164,9 @@
 	}
 	h.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	h.stop = func() {
+	h.stopWithin = func(timeout time.Duration) {
 		now := time.Now()
-		h.StartDraining(core.DrainSchedule{ListedUntil: now, End: now.Add(2 * time.Second)})
+		h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(timeout)})
 		cancel()
 	}
 	go func() { h.done <- h.Run(ctx, listener) }()
@@ -380,7 +381,7 @@
 	is.NoErr(err)
 	busy.send("/o/2")
 	waitFor(t, func() bool { return slow.requests.Load() == 2 })
-	h.stop()
+	h.stopWithin(2 * time.Second)
 	response, err := busy.receive()
 	is.NoErr(err)
 	is.Equal(string(response.Body()), "ok")
--- a/entry/forwarder/inflight.go
+++ b/entry/forwarder/inflight.go
@@ -2,13 +2,15 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/detector"
 )
 
-// Pending describes a request that has been read and not yet answered.
+// Pending describes a request whose response has not been written to the client.
 type Pending struct {
 	RequestID     string
 	Route         core.RouteName
@@ -17,41 +19,63 @@
 	// Upstream is where the last attempt was sent; empty before the first one.
 	Upstream core.UpstreamName
 	// Started is when the header of the request had been read, and Received when its body
-	// had.
+	// had; zero before that.
 	Started, Received time.Time
+	// IsAnswered says that the response is being written to the client.
+	IsAnswered bool
 }
 
-// pendingRequest is a request in the table of requests in flight. Another goroutine may read
-// it while the request is served.
+// pendingRequest is a request in the table of requests in flight.
 type pendingRequest struct {
+	mu          sync.Mutex
 	description Pending
-	upstream    atomic.Pointer[core.UpstreamName]
 }
 
-// describe returns the description with the upstream of the last attempt.
+// update changes the description.
+func (p *pendingRequest) update(change func(description *Pending)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.description)
+}
+
+// describe returns the description.
 func (p *pendingRequest) describe() Pending {
-	description := p.description
-	if upstream := p.upstream.Load(); upstream != nil {
-		description.Upstream = *upstream
-	}
-	return description
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.description
 }
 
-// pendingRequests holds the requests that have been read and not yet answered.
+// pendingRequests holds the requests in flight, from their header to the end of their
+// response.
 //
-// Lock order: no other lock is taken while the lock of a pendingRequests is held.
+// Lock order: pendingRequests.mu, then pendingRequest.mu; no other lock is taken while one of
+// them is held.
 type pendingRequests struct {
 	mu       sync.Mutex
 	requests map[*pendingRequest]struct{}
 }
 
-func (p *pendingRequests) add(request *pendingRequest) {
+// add adds a request whose header has been read.
+func (p *pendingRequests) add(requestID string, now time.Time) *pendingRequest {
+	request := &pendingRequest{description: Pending{RequestID: requestID, Started: now}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.requests == nil {
 		p.requests = map[*pendingRequest]struct{}{}
 	}
 	p.requests[request] = struct{}{}
+	return request
+}
+
+// removeAfterResponse removes a request once its response has been written.
+func (p *pendingRequests) removeAfterResponse(ctx *fasthttp.RequestCtx, request *pendingRequest) {
+	request.update(func(description *Pending) { description.IsAnswered = true })
+	remove := func() { p.remove(request) }
+	if conn, ok := ctx.Conn().(*detector.Conn); ok {
+		conn.AfterResponse(remove)
+		return
+	}
+	remove()
 }
 
 func (p *pendingRequests) remove(request *pendingRequest) {
@@ -60,13 +84,22 @@
 	delete(p.requests, request)
 }
 
-// list returns the descriptions of all requests.
+// count returns the number of requests.
+func (p *pendingRequests) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.requests)
+}
+
+// list returns the descriptions of the requests whose body has been read.
 func (p *pendingRequests) list() []Pending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	descriptions := make([]Pending, 0, len(p.requests))
+	var descriptions []Pending
 	for request := range p.requests {
-		descriptions = append(descriptions, request.describe())
+		if description := request.describe(); !description.Received.IsZero() {
+			descriptions = append(descriptions, description)
+		}
 	}
 	return descriptions
 }
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -67,20 +67,16 @@
 	// reopensIn is the time until the first upstream takes requests again, if none does now
 	// since they asked for a pause, otherwise 0.
 	reopensIn time.Duration
-	// isRefusedByStop says that the host drains and could not await the response.
-	isRefusedByStop bool
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
 
 // serve forwards a request and writes the response.
-func (f *Forwarder) serve(ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, now time.Time) {
-	r := f.newRequestState(ctx, policy, route, body, now)
-	f.pending.add(r.pending)
-	defer f.pending.remove(r.pending)
+func (f *Forwarder) serve(r *requestState) {
+	ctx := r.requestCtx
 	r.span = f.Tracer.Start(string(ctx.Request.Header.Peek(caller.HeaderTraceparent)), "entry.request")
 	defer func() { r.span.End(r.failureCause()) }()
-	f.RetryBudget.RecordRequest(r.service, now)
+	f.RetryBudget.RecordRequest(r.service, r.start)
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if conn, ok := ctx.Conn().(*detector.Conn); ok {
@@ -90,10 +86,14 @@
 	r.forward(attemptsCtx)
 }
 
+// newRequestState returns the state of a request whose body has been read.
 func (f *Forwarder) newRequestState(
-	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, now time.Time,
+	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, pending *pendingRequest,
 ) *requestState {
-	r := &requestState{forwarder: f, requestCtx: ctx, route: route, service: f.splitter.next(route), body: body, start: now}
+	now := pending.describe().Started
+	r := &requestState{
+		forwarder: f, requestCtx: ctx, route: route, service: f.splitter.next(route), body: body, start: now, pending: pending,
+	}
 	r.holdDeadline = f.holdDeadline(ctx, now)
 	clientDeadline := f.clientDeadline(ctx, now)
 	r.clientDeadline, r.deadline, r.responseDeadline = clientDeadline, clientDeadline, clientDeadline.Add(-responseMargin)
@@ -103,10 +103,10 @@
 		r.responseDeadline = earlier(r.responseDeadline, routeDeadline.Add(lateResponseGrace))
 	}
 	r.event = Event{RequestID: f.requestID(ctx), Route: route.Name, Service: r.service, PolicyVersion: policy.Version}
-	r.pending = &pendingRequest{description: Pending{
-		RequestID: r.event.RequestID, Route: route.Name, Service: r.service, PolicyVersion: policy.Version,
-		Started: now, Received: time.Now(),
-	}}
+	pending.update(func(description *Pending) {
+		description.Route, description.Service, description.PolicyVersion = route.Name, r.service, policy.Version
+		description.Received = time.Now()
+	})
 	r.affinityKey = string(ctx.Request.Header.Peek(f.HeaderNames.AffinityKey))
 	if r.affinityKey == "" {
 		r.affinityKey = r.event.RequestID
@@ -145,7 +145,7 @@
 // upstream is expected to respond in time or the retry budget allows no further
 // attempt.
 func (r *requestState) chooseUpstream(ctx context.Context, now time.Time) (placer.Choice, bool) {
-	if !now.Before(r.deadline) || r.isTooLate(now) {
+	if !now.Before(r.deadline) || r.isRefusedByStop(now) {
 		return placer.Choice{}, false
 	}
 	query := placer.Query{
@@ -163,7 +163,8 @@
 		return choice, false
 	}
 	r.queueWait = choice.QueueTime
-	if r.isTooLate(now) {
+	// The request may have been held until the host no longer accepts connections.
+	if r.isRefusedByStop(now) {
 		r.forwarder.Placer.Release(choice)
 		return choice, false
 	}
@@ -198,7 +199,7 @@
 func (r *requestState) sendAttempt(ctx context.Context, choice placer.Choice) exchanger.Result {
 	r.tried = append(r.tried, choice.Upstream.Name)
 	r.event.Upstream = choice.Upstream.Name
-	r.pending.upstream.Store(&choice.Upstream.Name)
+	r.pending.update(func(description *Pending) { description.Upstream = choice.Upstream.Name })
 	r.event.Limit, r.event.LimitInterval = choice.Limit, choice.LimitInterval
 	span := r.forwarder.Tracer.Start(r.span.Traceparent(), "entry.attempt")
 	span.SetAttribute("upstream", string(choice.Upstream.Name))
@@ -342,7 +343,7 @@
 		notify(r.forwarder.OnFailure, r.event)
 		return
 	}
-	if r.isRefusedByStop {
+	if r.isRefusedByStop(time.Now()) {
 		r.event.Detail = "the host stops and could not await the response"
 		r.forwarder.respondUnavailable(r.requestCtx, r.event, "host-stopping", minRetryAfter)
 		return
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -242,7 +242,7 @@
 	s.log.Event(logger.HostLeaving).Send()
 	s.steerer.StartDraining(schedule, now)
 	s.sendHeartbeats(now)
-	time.Sleep(time.Until(schedule.ListedUntil))
+	time.Sleep(time.Until(schedule.AcceptsUntil))
 }
 
 // finishRequests waits until no request is in flight, until the end of the stop at most.
