Forward an upstream's error response where a stopping host makes no retry

A repeatable request whose first attempt got a 500 from its upstream was answered 502 by a stopping host: the response was dropped for a retry, which the schedule of the stop then refused. The response is forwarded now, as where the retry budget is exhausted. TestFailureNearTheEndIsForwarded fails without the change (502, no signature).

--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -115,6 +115,27 @@
 	is.Equal(int(u.requests.Load()), 1)
 }
 
+// TestFailureNearTheEndIsForwarded guards against an upstream's own error response that a
+// stopping host replaces by its own, since it makes no further attempt.
+func TestFailureNearTheEndIsForwarded(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{response: errorResponse, delay: 50 * time.Millisecond}
+	other := &fakeUpstream{response: errorResponse, delay: 50 * time.Millisecond}
+	h := newHost(t, lookupRoute, u, other)
+	c := h.dial(t)
+	c.send("/o/1")
+	for u.requests.Load()+other.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(time.Second)})
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(response.StatusCode(), fasthttp.StatusInternalServerError)
+	is.Equal(string(response.Header.Peek("Signature")), "s")
+	is.Equal(u.requests.Load()+other.requests.Load(), int32(1))
+}
+
 // TestSilentConnectionIsNoFailure guards against a stop that counts as failed because of a
 // connection on which no request arrived.
 func TestSilentConnectionIsNoFailure(t *testing.T) {
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -260,7 +260,7 @@
 		r.respondUnknownOutcome(result)
 		return true
 	}
-	if result.State == core.Answered && !r.hasRetryBudget() {
+	if result.State == core.Answered && (!r.hasRetryBudget() || r.isRefusedByStop(time.Now())) {
 		r.forwardResponse(result)
 		return true
 	}
