Era of the store: types

The store may come back from an older copy and give out its revisions again. These are the types that name the era of a revision; nothing sets or reads them yet.

--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -105,6 +105,9 @@
 	Upstreams   *Upstreams   `cbor:"2,keyasint"`
 	Evacuations *Evacuations `cbor:"3,keyasint"`
 	Hosts       *Hosts       `cbor:"4,keyasint"`
+	// Era is the era of the store to which the revisions of Upstreams, Evacuations and Hosts
+	// belong.
+	Era core.Era `cbor:"5,keyasint,omitempty"`
 }
 
 // Revisions returns the revisions of the parts.
--- a/core/revisions.go
+++ b/core/revisions.go
@@ -1,5 +1,11 @@
 package core
 
+// Era numbers the times between which the platform's store came back from an older copy. What
+// was written after that copy is lost, and its revisions are given out again, so only
+// revisions of one era can be compared. A later era has a higher number; 0 means that the
+// store names no era.
+type Era uint64
+
 // Revisions are the revisions of the parts of a host's copy of the platform's store; 0
 // where a part was never read. They tell how new the copy is.
 type Revisions struct {
@@ -11,6 +17,8 @@
 	Hosts       uint64 `cbor:"4,keyasint" json:"hosts"`
 	// MayIncludeExpired says that the copy holds upstreams whose registrations may have expired.
 	MayIncludeExpired bool `cbor:"5,keyasint,omitempty" json:"has-lapsed,omitempty"`
+	// Era is the era of the store to which Upstreams, Evacuations and Hosts belong.
+	Era Era `cbor:"6,keyasint,omitempty" json:"era,omitempty"`
 }
 
 // IsBehind reports whether at least one part of the other copy is newer.
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -43,6 +43,8 @@
 type List[T any] struct {
 	Objects  map[string]T
 	Revision uint64
+	// Era is the era of the store to which Revision belongs.
+	Era core.Era
 }
 
 // Change describes the creation, update or removal of an object. Object is unset
@@ -57,6 +59,8 @@
 type Changes[T any] struct {
 	List     []Change[T]
 	Revision uint64
+	// Era is the era of the store to which Revision belongs.
+	Era core.Era
 }
 
 // Watcher keeps a copy of all objects of one kind. Its functions List, Watch, OnSnapshot,
