--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -11,8 +11,8 @@
 // request, and is discarded. A connection that fails or delivers an invalid response
 // is closed and not reused.
 //
-// The package also has the dialers that other packages use, and StoreCall, which
-// makes the HTTP calls of the clients of the store.
+// The package also has the dialers that other packages use, and StoreCall and
+// StoreClient, which make the HTTP calls of the clients of the store.
 //
 // # Usage
 //
--- a/entry/caller/store.go
+++ b/entry/caller/store.go
@@ -16,7 +16,9 @@
 
 // StoreCall is one HTTP request to the platform's store, which holds JSON objects.
 type StoreCall struct {
-	Method string
+	// Operation is the name of the kind of call for StoreClient.OnCall.
+	Operation string
+	Method    string
 	// Address is the store's IP address and port.
 	Address string
 	Path    string
@@ -24,6 +26,8 @@
 	Query string
 	// Body is JSON; nil sends none.
 	Body []byte
+	// Wait is how long the store may hold a watch open. StoreClient adds it to the timeout.
+	Wait time.Duration
 }
 
 // Do sends the request and waits for the response until the timeout. It decodes the JSON
--- a/entry/controller/recovery_test.go
+++ b/entry/controller/recovery_test.go
@@ -129,7 +129,7 @@
 	w := &watcher.Watcher[int]{
 		List: store.list, Watch: store.watch, Breaker: breaker,
 		WatchTimeout: c.Bounds.WatchTimeout(history), BatchDelay: c.Bounds.BatchDelay(),
-		OnSnapshot: func(objects map[string]int, _ uint64) { copied = objects["object"] },
+		OnSnapshot: func(list watcher.List[int]) { copied = list.Objects["object"] },
 		OnSuccess:  func() { c.RecordStoreResponse(time.Now()) },
 		OnFailure:  func(err error) { c.RecordStoreFailure(err, time.Now()) },
 	}
--- a/entry/watcher/decode.go
+++ b/entry/watcher/decode.go
@@ -3,8 +3,40 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
+// Source reads the objects of one kind as the store holds them, and decodes them for a
+// Watcher. All its fields must be set.
+type Source[A, B any] struct {
+	// List and Watch are like those of Watcher.
+	List  func() (List[A], error)
+	Watch func(after uint64, wait time.Duration) (Changes[A], error)
+	// Decode decodes an object that was received at the given time.
+	Decode func(object A, now time.Time) (B, error)
+	// OnInvalid is called for each object that cannot be decoded; such an object is left out.
+	OnInvalid func(object A, err error)
+}
+
+// Connect makes a watcher read from the source.
+func (s Source[A, B]) Connect(w *Watcher[B]) {
+	decode := func(object A) (B, bool) {
+		value, err := s.Decode(object, time.Now())
+		if err != nil {
+			s.OnInvalid(object, err)
+		}
+		return value, err == nil
+	}
+	w.List = func() (List[B], error) {
+		list, err := s.List()
+		return DecodeList(list, decode), err
+	}
+	w.Watch = func(after uint64, wait time.Duration) (Changes[B], error) {
+		changes, err := s.Watch(after, wait)
+		return DecodeChanges(changes, decode), err
+	}
+}
+
 // DecodeList decodes every object of a list. Objects for which decode returns
 // false are left out.
 func DecodeList[A, B any](list List[A], decode func(object A) (B, bool)) List[B] {
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -87,7 +87,7 @@
 	// OnSnapshot gets all objects of the kind after each list and each watch with
 	// changes, with the revision of the store that they reflect. The watcher modifies
 	// the map later, so copy it to keep it.
-	OnSnapshot func(objects map[string]T, revision uint64)
+	OnSnapshot func(list List[T])
 	// OnDelta, if set, is called in place of OnSnapshot after a watch, with the changes
 	// made after the revision that was passed on last. OnSnapshot then gets only lists.
 	OnDelta func(after uint64, changes Changes[T])
@@ -179,7 +179,7 @@
 	case w.OnDelta != nil:
 		w.OnDelta(w.delivered, changes)
 	default:
-		w.OnSnapshot(w.objects, w.revision)
+		w.OnSnapshot(List[T]{Objects: w.objects, Revision: w.revision})
 	}
 	w.delivered = w.revision
 	return nil
@@ -218,7 +218,7 @@
 		return err
 	}
 	w.revision, w.objects = list.Revision, list.Objects
-	w.OnSnapshot(w.objects, w.revision)
+	w.OnSnapshot(List[T]{Objects: w.objects, Revision: w.revision})
 	w.delivered = w.revision
 	return nil
 }
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -58,7 +58,7 @@
 			time.Sleep(wait)
 			return Changes[int]{Revision: after}, s.call()
 		},
-		OnSnapshot: func(map[string]int, uint64) {},
+		OnSnapshot: func(List[int]) {},
 		OnSuccess:  func() {},
 		OnFailure:  func(error) {},
 	}
@@ -113,7 +113,7 @@
 		Watch: func(uint64, time.Duration) (Changes[int], error) {
 			return Changes[int]{}, core.ErrHistoryGone.New("compacted")
 		},
-		OnSnapshot: func(map[string]int, uint64) {},
+		OnSnapshot: func(List[int]) {},
 		OnSuccess:  func() {},
 		OnFailure:  func(error) { t.Error("not a failure") },
 	}
@@ -138,7 +138,7 @@
 				time.Sleep(wait)
 				return Changes[int]{Revision: after}, nil
 			},
-			OnSnapshot: func(map[string]int, uint64) {},
+			OnSnapshot: func(List[int]) {},
 			OnSuccess:  func() {},
 			OnFailure:  func(error) {},
 		}
@@ -180,7 +180,7 @@
 			}
 			return next, nil
 		},
-		OnSnapshot: func(map[string]int, uint64) {},
+		OnSnapshot: func(List[int]) {},
 		OnDelta:    func(after uint64, _ Changes[int]) { bases = append(bases, after) },
 		OnSuccess:  func() {},
 		OnFailure:  func(err error) { t.Error(err) },
@@ -211,7 +211,7 @@
 				stop()
 				return Changes[int]{Revision: after}, nil
 			},
-			OnSnapshot: func(map[string]int, uint64) {},
+			OnSnapshot: func(List[int]) {},
 			OnSuccess:  func() {},
 			OnFailure:  func(error) {},
 		}
@@ -259,10 +259,10 @@
 				time.Sleep(wait)
 				return Changes[int]{Revision: after}, nil
 			},
-			OnSnapshot: func(objects map[string]int, _ uint64) {
+			OnSnapshot: func(list List[int]) {
 				mu.Lock()
 				defer mu.Unlock()
-				if a, ok := objects["a"]; ok {
+				if a, ok := list.Objects["a"]; ok {
 					seen = append(seen, a)
 				}
 			},
@@ -310,7 +310,7 @@
 				time.Sleep(wait)
 				return Changes[int]{Revision: after}, nil
 			},
-			OnSnapshot: func(map[string]int, uint64) {},
+			OnSnapshot: func(List[int]) {},
 			OnSuccess:  func() {},
 			OnFailure:  func(error) {},
 		}
