A registration that was pending when the stop began is removed

What could be seen: a host that got SIGTERM while it registered stayed in the list of hosts until another host removed it as expired.

Cause: Unregister reads and removes the registration once. A write that is pending then, or that follows a pending read, takes effect after that.

Change: when an attempt to register ends and the host was unregistered meanwhile, the registrar removes its registration once more. A missing registration of an unregistered host is no signal any more.

Evidence: TestStopDuringRegistration fails on the code before for a slow create and for a slow read, and passes now. The store of the registrar's tests got a lock, since two goroutines use it now. A write that gets no answer and is executed by the store after that removal still stays; other hosts remove it.

--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -96,7 +96,7 @@
 // longer is registers again, since another host considered it expired and removed its
 // registration.
 func (r *Registrar) SetListed(isListed bool) {
-	if wasListed := r.isListed.Swap(isListed); !wasListed || isListed {
+	if wasListed := r.isListed.Swap(isListed); !wasListed || isListed || r.isUnregistered.Load() {
 		return
 	}
 	select {
@@ -105,16 +105,22 @@
 	}
 }
 
-// register tries to write the registration until it succeeds, ctx ends or the host
-// is unregistered.
+// register tries to write the registration until it succeeds, ctx ends or the host is
+// unregistered. In the last case it removes what the attempt may have written.
 func (r *Registrar) register(ctx context.Context) {
-	for ctx.Err() == nil && !r.isUnregistered.Load() {
+	for ctx.Err() == nil {
+		if r.isUnregistered.Load() {
+			r.removeOwn()
+			return
+		}
 		err := r.writeRegistration()
-		if err == nil {
+		if err == nil && !r.isUnregistered.Load() {
 			return
 		}
-		r.Log.Event(logger.RegistrationFailed).Err(err).Send()
-		waiter.Sleep(ctx, retryInterval)
+		if err != nil {
+			r.Log.Event(logger.RegistrationFailed).Err(err).Send()
+			waiter.Sleep(ctx, retryInterval)
+		}
 	}
 }
 
@@ -134,6 +140,10 @@
 // again.
 func (r *Registrar) Unregister() {
 	r.isUnregistered.Store(true)
+	r.removeOwn()
+}
+
+func (r *Registrar) removeOwn() {
 	if err := r.removeRegistration(r.Self); err != nil {
 		r.Log.Event(logger.RegistrationFailed).Err(err).Send()
 	}
--- a/entry/registrar/registrar_test.go
+++ b/entry/registrar/registrar_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 
 // fakeStore holds registrations in memory.
 type fakeStore struct {
+	mu            sync.Mutex
 	registrations map[core.HostName]Registration
 	revision      uint64
 	// failures is the number of Create calls that fail from now on.
@@ -30,6 +33,8 @@
 	return &Registrar{
 		Self: self,
 		Create: func(host core.Host) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.failures > 0 {
 				s.failures--
 				return core.ErrPlatform.New("down")
@@ -41,6 +46,8 @@
 			return nil
 		},
 		Read: func(name core.HostName) (Registration, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			existing, ok := s.registrations[name]
 			if !ok {
 				return existing, core.ErrNotFound.New("%s", name)
@@ -48,6 +55,8 @@
 			return existing, nil
 		},
 		Replace: func(host core.Host, existing Registration) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.registrations[host.Name] != existing {
 				return core.ErrConflict.New("revision")
 			}
@@ -55,6 +64,8 @@
 			return nil
 		},
 		Remove: func(existing Registration) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.registrations[existing.Host.Name] != existing {
 				return core.ErrConflict.New("revision")
 			}
@@ -160,3 +171,48 @@
 		is.Equal(len(store.registrations), 0)
 	})
 }
+
+// TestStopDuringRegistration guards against a registration that stays after a graceful stop,
+// because a call that writes it was pending when the stop began.
+func TestStopDuringRegistration(t *testing.T) {
+	const slow = time.Second
+	earlier := core.Host{Name: selfHost.Name, Incarnation: 1}
+	slowCalls := map[string]func(r *Registrar){
+		"create": func(r *Registrar) {
+			create := r.Create
+			r.Create = func(host core.Host) error {
+				time.Sleep(slow)
+				return create(host)
+			}
+		},
+		"read": func(r *Registrar) {
+			read := r.Read
+			var isLater atomic.Bool
+			r.Read = func(name core.HostName) (Registration, error) {
+				registration, err := read(name)
+				if !isLater.Swap(true) {
+					time.Sleep(slow)
+				}
+				return registration, err
+			}
+		},
+	}
+	for name, slowDown := range slowCalls {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &fakeStore{registrations: map[core.HostName]Registration{}}
+			if name == "read" {
+				store.write(earlier) // Create finds it, so that Read is called.
+			}
+			r := store.registrar(selfHost)
+			slowDown(r)
+			run(t, r, func() {
+				time.Sleep(slow / 2)
+				r.Unregister()
+				time.Sleep(2*slow + 2*retryInterval)
+				synctest.Wait()
+				is.True(store.registrations[selfHost.Name].Host != selfHost)
+			})
+		})
+	}
+}
