Hosts verify their registration when the store was restored

What could be seen: the store comes back from a copy that is older than a host's registration. A host that reads the list of hosts registers again once it is missing there, but a host whose zone has another reader doesn't read it. And a host that has removed its registration in a graceful stop is back in the list.

Cause: a write counted as done for good once the store had acknowledged it.

The hosts spread this over a second, since all of them share the store's limit of calls. It reads first, because in most cases nothing is missing and the store allows more reads than writes; at the start Create still comes first. A removal whose revision is of an earlier era, or changed meanwhile, is repeated after another read, three times at most.

--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -5,18 +5,21 @@
 // replaces the registration of an earlier incarnation of itself, and registers again
 // whenever its registration is missing. Every write states the
 // revision that it replaces, so that it never overwrites what another host or a
-// later incarnation has written.
+// later incarnation has written. The store may come back from an older copy, without the
+// registration or, after a graceful stop began, with it: the host then verifies it.
 //
 // # Usage
 //
 //	r := &registrar.Registrar{Self: host, Create: create, Read: read, Replace: replace, Remove: remove, Log: log}
 //	go r.Run(ctx)
 //	r.SetListed(isListed) // After each read of the list of hosts.
+//	r.Verify()            // When the store came back from an older copy.
 //	r.Unregister()        // When a graceful stop begins.
 package registrar
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +37,11 @@
 	// cleanupInterval is the time between two searches for registrations of hosts
 	// that are gone.
 	cleanupInterval = 10 * time.Second
+	// verificationSpread is the time over which the hosts of a fleet spread their
+	// verifications, since the store limits the rate of all calls together.
+	verificationSpread = time.Second
+	// maxRemovals limits the attempts to remove a registration that changes meanwhile.
+	maxRemovals = 3
 )
 
 // Registration is a host's entry in the store.
@@ -63,9 +71,10 @@
 	Log          *logger.Logger
 
 	once sync.Once
-	// missing signals that the registration of this host is missing. Use
-	// missingSignal to access it.
-	missing chan struct{}
+	// missing signals that the registration of this host is missing, and unverified that
+	// it may be. Use signals to access them.
+	missing    chan struct{}
+	unverified chan struct{}
 	// isListed says that the last list of hosts included this host.
 	isListed       atomic.Bool
 	isUnregistered atomic.Bool
@@ -76,20 +85,34 @@
 func (r *Registrar) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	group.Go(func() { waiter.Every(ctx, cleanupInterval, r.removeExpired) })
+	missing, unverified := r.signals()
+	r.register(ctx, r.writeRegistration)
 	for ctx.Err() == nil {
-		r.register(ctx)
 		select {
 		case <-ctx.Done():
-		case <-r.missingSignal():
+		case <-missing:
+			r.register(ctx, r.writeRegistration)
+		case <-unverified:
+			waiter.Sleep(ctx, rand.N(verificationSpread)) //nolint:gosec // Jitter needs no secure random numbers.
+			r.register(ctx, r.verifyRegistration)
 		}
 	}
 	group.Wait()
 }
 
-// missingSignal returns the channel that signals that the registration is missing.
-func (r *Registrar) missingSignal() chan struct{} {
-	r.once.Do(func() { r.missing = make(chan struct{}, 1) })
-	return r.missing
+// signals returns the channels that signal that the registration is missing, and that it
+// may be.
+func (r *Registrar) signals() (missing, unverified chan struct{}) {
+	r.once.Do(func() { r.missing, r.unverified = make(chan struct{}, 1), make(chan struct{}, 1) })
+	return r.missing, r.unverified
+}
+
+// send sends a signal, unless one is pending.
+func send(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
 }
 
 // SetListed records whether the store lists this host. A host that was listed and no
@@ -99,21 +122,26 @@
 	if wasListed := r.isListed.Swap(isListed); !wasListed || isListed || r.isUnregistered.Load() {
 		return
 	}
-	select {
-	case r.missingSignal() <- struct{}{}:
-	default: // Run has been signaled already.
-	}
+	missing, _ := r.signals()
+	send(missing)
+}
+
+// Verify makes Run read the registration, within verificationSpread, and write it if it is
+// missing or another one. After Unregister, Run removes it if it is there.
+func (r *Registrar) Verify() {
+	_, unverified := r.signals()
+	send(unverified)
 }
 
-// register tries to write the registration until it succeeds, ctx ends or the host is
+// register repeats an attempt to register until it succeeds, ctx ends or the host is
 // unregistered. In the last case it removes what the attempt may have written.
-func (r *Registrar) register(ctx context.Context) {
+func (r *Registrar) register(ctx context.Context, attempt func() error) {
 	for ctx.Err() == nil {
 		if r.isUnregistered.Load() {
 			r.removeOwn()
 			return
 		}
-		err := r.writeRegistration()
+		err := attempt()
 		if err == nil && !r.isUnregistered.Load() {
 			return
 		}
@@ -129,11 +157,22 @@
 	if !core.IsConflict(err) {
 		return err
 	}
+	return r.verifyRegistration()
+}
+
+// verifyRegistration reads the registration and writes it if it is missing or another one.
+func (r *Registrar) verifyRegistration() error {
 	existing, err := r.Read(r.Self.Name)
-	if err != nil {
+	switch {
+	case r.isUnregistered.Load(): // It was unregistered during the call.
+		return nil
+	case core.IsNotFound(err):
+		return r.Create(r.Self)
+	case err != nil || existing.Host == r.Self:
 		return err
+	default:
+		return r.Replace(r.Self, existing)
 	}
-	return r.Replace(r.Self, existing)
 }
 
 // Unregister removes this host's registration, and keeps Run from registering it
@@ -152,6 +191,17 @@
 // removeRegistration removes the registration of one incarnation of a host. That of
 // another incarnation stays.
 func (r *Registrar) removeRegistration(host core.Host) error {
+	var err error
+	for range maxRemovals {
+		err = r.tryToRemove(host)
+		if !core.IsConflict(err) && !core.IsEarlierEra(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func (r *Registrar) tryToRemove(host core.Host) error {
 	existing, err := r.Read(host.Name)
 	if core.IsNotFound(err) {
 		return nil
--- a/entry/registrar/registrar_test.go
+++ b/entry/registrar/registrar_test.go
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
-		r.once.Do(func() { r.missing = make(chan struct{}, 1) })
+		r.signals()
 		go func() {
 			defer close(done)
 			r.Run(ctx)
