No surplus watch after the list of a restored store

A renewed watch asks without a wait, to learn at once whether the store responds. If the era has risen, a list takes its place and shows the same, but the next watch still did not wait: one more call of each watcher and host. TestSilentWatchOfRestoredStore failed on the code before (waits of 1m0s and 1ms). TestRiseIsReportedOnce checks the tracker of the eras for calls at the same time; it passed before, too.

--- a/entry/watcher/era_test.go
+++ b/entry/watcher/era_test.go
@@ -134,6 +134,11 @@
 		is.Equal(s.copied, 2)
 		is.Equal(len(s.lists), 2)
 		is.Equal(len(s.watches), 1) // none after a revision of the earlier era
+		s.mu.Unlock()
+		time.Sleep(w.BatchDelay)
+		s.mu.Lock()
+		// The next watch may wait: the list has confirmed that the store responds.
+		is.Equal(s.waits, []time.Duration{w.WatchTimeout, w.WatchTimeout})
 	})
 }
 
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -240,6 +240,7 @@
 		return err
 	}
 	w.revision, w.era, w.objects = list.Revision, list.Era, list.Objects
+	w.isRenewing = false // The list has confirmed that the store responds.
 	w.OnSnapshot(List[T]{Objects: w.objects, Revision: w.revision, Era: w.era})
 	w.delivered = w.revision
 	return nil
