Send no delta from a list that this host did not have

Cause: the change log claimed to hold all changes after its first revision. It holds the differences between the lists that this host had. What joined and left between two of them is in none, and neither is an upstream that this host retained while the store did not list it. A follower that holds a list from another host got a delta from such a revision.

Change: the log knows the revisions that the copy had. Another revision gets the full list, and the log starts anew after a list with retained upstreams.

Both new tests fail on: "[a b] != [a]" and "[a] != [a b]"; they pass now, as do the other tests of core/replicator. A reader's followers hold revisions that the reader had, so only a change of reader costs a full list.

--- a/core/replicator/delta.go
+++ b/core/replicator/delta.go
@@ -20,18 +20,29 @@
 
 // changeLog records which upstreams changed after a revision.
 type changeLog struct {
-	// since is the revision after which the log holds all changes.
-	since   uint64
-	changes map[core.UpstreamName]change
+	// revisions are those that this copy has had, in ascending order; the log holds all
+	// changes after the first one. It does not hold what changed between two of them and
+	// changed back.
+	revisions []uint64
+	changes   map[core.UpstreamName]change
+}
+
+// reachesBackTo reports whether the log holds all changes after a revision that another
+// host holds.
+func (l *changeLog) reachesBackTo(revision uint64) bool {
+	_, isKnown := slices.BinarySearch(l.revisions, revision)
+	return isKnown && revision > 0
 }
 
 // record adds the changes between two lists, which are sorted by name. It starts the
-// log anew where before is nil or the log has become too long.
+// log anew where before is no list of the store at its revision, so that another host may
+// hold a different one at that revision, or where the log has become too long.
 func (l *changeLog) record(before, after *Upstreams) {
-	if before == nil || len(l.changes) > maxChanges {
-		*l = changeLog{since: after.Revision, changes: map[core.UpstreamName]change{}}
+	if before == nil || !before.isStored() || len(l.changes) > maxChanges || len(l.revisions) > maxChanges {
+		*l = changeLog{revisions: []uint64{after.Revision}, changes: map[core.UpstreamName]change{}}
 		return
 	}
+	l.revisions = append(l.revisions, after.Revision)
 	old := before.List
 	for _, u := range after.List {
 		for len(old) > 0 && old[0].Name < u.Name {
@@ -110,7 +121,7 @@
 func (r *Replicator) upstreamsSince(held core.Revisions, now time.Time) *Upstreams {
 	current := r.current.Upstreams
 	update := &Upstreams{Revision: current.Revision, MayIncludeExpired: current.MayIncludeExpired}
-	if held.MayIncludeExpired || held.Upstreams == 0 || held.Upstreams < r.changes.since {
+	if held.MayIncludeExpired || !r.changes.reachesBackTo(held.Upstreams) {
 		update.List, update.RemainingWarmUps = current.List, remainingWarmups(current.List, now)
 		return update
 	}
@@ -146,6 +157,12 @@
 	return remaining
 }
 
+// isStored reports whether the full list is the store's at its revision, without upstreams
+// that a host retained.
+func (u *Upstreams) isStored() bool {
+	return !u.MayIncludeExpired
+}
+
 // applyTo returns the full list that results from applying the update to the held
 // list. It returns false where the held list is older than the base of the update.
 func (u *Upstreams) applyTo(held *Upstreams, now time.Time) (*Upstreams, bool) {
--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -187,3 +187,34 @@
 	is.Equal(names(reader), []string{"upstream-00", "upstream-10"})
 	is.Equal(names(follower), names(reader))
 }
+
+// TestDeltaFromRevisionOfAnotherHost guards against a follower that keeps an upstream that
+// has left: it knows the upstream from another host, and its present reader has read the
+// store only before the upstream joined and after it left.
+func TestDeltaFromRevisionOfAnotherHost(t *testing.T) {
+	is := is.New(t)
+	reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+	reader.ApplyUpdate(upstreams(50, "a"), start)
+	follower.ApplyUpdate(upstreams(51, "a", "b"), start)
+	reader.ApplyUpdate(upstreams(52, "a"), start)
+	follower.ApplyUpdate(reader.ChangesSince(follower.Snapshot().Revisions(), start), start)
+	is.Equal(names(follower), []string{"a"})
+}
+
+// TestDeltaFromListWithoutRetained guards against a follower that never learns of an upstream
+// that has registered again: its present reader retained the upstream, so that for the reader
+// nothing changed, but the follower held the list of the store without it.
+func TestDeltaFromListWithoutRetained(t *testing.T) {
+	is := is.New(t)
+	reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+	reader.RecordStoreResponse(start)
+	reader.ApplyUpdate(upstreams(50, "a", "b"), start)
+	recovery := start.Add(8 * time.Second)
+	reader.RecordStoreResponse(recovery)
+	reader.ApplyUpdate(upstreams(60, "a"), recovery)
+	is.Equal(names(reader), []string{"a", "b"}) // b is retained
+	follower.ApplyUpdate(upstreams(60, "a"), recovery)
+	reader.ApplyUpdate(upstreams(61, "a", "b"), recovery.Add(time.Second))
+	follower.ApplyUpdate(reader.ChangesSince(follower.Snapshot().Revisions(), recovery), recovery)
+	is.Equal(names(follower), []string{"a", "b"})
+}
