Keep a host's copy right when the store comes back from an older copy

Callers: after such a restore a host would ignore the store until its revisions had passed those given out before, go back to older states of upstreams (DRAIN, FAILBACK), lose live ones and evacuated zones (EVAC) that the older copy lacks, or apply a delta to a list of before the restore.

Cause: updates were ordered by the store's revision alone. A restored store gives out its revisions again.

Change: a copy belongs to one era of the store. Updates of an earlier era are ignored, but for a policy of a higher version; a later era makes all parts count as never read. Deltas are only sent inside an era. What the copy knew is not undone at once (restore.go): missing upstreams and zones are retained for the existing grace period, and upstreams that drain, have ended or are cold stay so until three heartbeats of upstreams later, when a response of the store shows which entries are left. RemoveExpired is now Settle and ends all of this. Followers learn of these ends, which do not change the revision, from two new flags. A host that gets a list with such corrections corrects its own reads for the same time. Replicator.Held returns the revisions of what was given, so that a follower which retains more than its reader does not fetch again and again.

TestFollowerMatchesReader and TestDeltasMatchFullLists now restore the store too; their checks in an era are unchanged.

Not covered: a follower takes what its reader retains for up to 2 s, also if it had itself seen the upstream leave through another reader.

--- a/core/format_test.go
+++ b/core/format_test.go
@@ -51,6 +51,9 @@
 			ClientAddress: "10.0.0.1:8548", PeerAddress: "10.0.0.2:7540", Capacity: 320,
 		}},
 		{"revisions", core.Revisions{Policy: 3, Upstreams: 5, Evacuations: 7, Hosts: 11, MayIncludeExpired: true}},
+		{"revisions-of-era", core.Revisions{
+			Policy: 3, Upstreams: 5, Evacuations: 7, Hosts: 11, Era: 13, UpstreamsSettling: true, EvacuationsSettling: true,
+		}},
 		{"findings", core.Findings{{Pointer: "/name", Message: "is empty"}}},
 	}
 	for _, tt := range tests {
--- a/core/replicator/delta.go
+++ b/core/replicator/delta.go
@@ -91,37 +91,64 @@
 	return merged
 }
 
+// find returns the upstream of the given name in a list that is sorted by name.
+func find(list []core.Upstream, name core.UpstreamName) (core.Upstream, bool) {
+	compare := func(u core.Upstream, name core.UpstreamName) int { return cmp.Compare(u.Name, name) }
+	i, ok := slices.BinarySearchFunc(list, name, compare)
+	if !ok {
+		return core.Upstream{}, false
+	}
+	return list[i], true
+}
+
 // ChangesSince returns the parts of the copy that are newer than the given revisions, the
-// upstreams as a delta where possible. The other parts are nil.
+// upstreams as a delta where possible. The other parts are nil. If the given revisions are
+// those of a later era, only the policy can be newer.
 func (r *Replicator) ChangesSince(held core.Revisions, now time.Time) Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	update := r.current
 	newest := r.current.Revisions()
-	if held.Policy >= newest.Policy {
-		update.Policy = nil
+	update := Snapshot{Era: newest.Era}
+	if held.Policy < newest.Policy {
+		update.Policy = r.current.Policy
+	}
+	if held.Era > newest.Era {
+		return update
 	}
-	if held.Evacuations >= newest.Evacuations {
-		update.Evacuations = nil
+	isEarlier := held.Era < newest.Era
+	if isOffered(held.Evacuations, newest.Evacuations, held.HasOlderEvacuations(newest)) {
+		update.Evacuations = r.current.Evacuations
 	}
-	if held.Hosts >= newest.Hosts {
-		update.Hosts = nil
+	if isOffered(held.Hosts, newest.Hosts, isEarlier || held.Hosts < newest.Hosts) {
+		update.Hosts = r.current.Hosts
 	}
-	update.Upstreams = nil
-	if held.HasOlderUpstreams(newest) {
+	if r.current.Upstreams != nil && isOffered(held.Upstreams, newest.Upstreams, held.HasOlderUpstreams(newest)) {
 		update.Upstreams = r.upstreamsSince(held, now)
 	}
 	return update
 }
 
+// isOffered reports whether another host gets a part of the copy. A part that was not read
+// in this era of the store is only of use to a host that never read it.
+func isOffered(held, newest uint64, isNewer bool) bool {
+	if newest == 0 {
+		return held == 0
+	}
+	return isNewer
+}
+
 // upstreamsSince returns the delta from the given revisions, or the full list where
 // the change log does not reach back so far. A host that holds upstreams whose
-// registrations may have expired gets the full list too: dropping such upstreams does
-// not change the revision. The caller holds Replicator.mu.
+// registrations may have expired, or that differ from the store's after a restore, gets the
+// full list too: what becomes of them does not change the revision. The caller holds
+// Replicator.mu.
 func (r *Replicator) upstreamsSince(held core.Revisions, now time.Time) *Upstreams {
 	current := r.current.Upstreams
-	update := &Upstreams{Revision: current.Revision, MayIncludeExpired: current.MayIncludeExpired}
-	if held.MayIncludeExpired || !r.changes.reachesBackTo(held.Upstreams) {
+	update := &Upstreams{
+		Revision: current.Revision, MayIncludeExpired: current.MayIncludeExpired, IsSettling: current.IsSettling,
+	}
+	isProvisional := held.MayIncludeExpired || held.UpstreamsSettling
+	if isProvisional || held.Era != r.current.Era || !r.changes.reachesBackTo(held.Upstreams) {
 		update.List, update.RemainingWarmUps = current.List, remainingWarmups(current.List, now)
 		return update
 	}
@@ -157,10 +184,10 @@
 	return remaining
 }
 
-// isStored reports whether the full list is the store's at its revision, without upstreams
-// that a host retained.
+// isStored reports whether the full list is the store's at its revision: it was read in this
+// era of the store, and no host retained or corrected upstreams in it.
 func (u *Upstreams) isStored() bool {
-	return !u.MayIncludeExpired
+	return u.Revision > 0 && !u.MayIncludeExpired && !u.IsSettling
 }
 
 // applyTo returns the full list that results from applying the update to the held
@@ -173,12 +200,14 @@
 		}
 	}
 	sortByName(list)
+	full := &Upstreams{Revision: u.Revision, List: list, MayIncludeExpired: u.MayIncludeExpired, IsSettling: u.IsSettling}
 	if u.BaseRevision == 0 {
-		return &Upstreams{Revision: u.Revision, List: list, MayIncludeExpired: u.MayIncludeExpired}, true
+		return full, true
 	}
 	if held == nil || held.Revision < u.BaseRevision {
 		return nil, false
 	}
 	removed := slices.Sorted(slices.Values(u.Removed))
-	return &Upstreams{Revision: u.Revision, MayIncludeExpired: u.MayIncludeExpired, List: merge(held.List, list, removed)}, true
+	full.List = merge(held.List, list, removed)
+	return full, true
 }
--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -16,17 +16,45 @@
 
 // TestFollowerMatchesReader guards against a follower whose copy diverges from its
 // reader's. The reader reads the store, and the follower fetches its changes now and
-// then, also after outages from which registrations are missing. After each fetch both
-// copies must be equal, and the follower's revision must never decrease.
+// then, also after outages from which registrations are missing, and after the store has
+// come back from older copies, of which the follower may miss some. After each fetch both
+// copies must be equal, and the follower's era and revision must never decrease. For a
+// time after it has learnt of a restore the follower may hold back more than the reader.
 func TestFollowerMatchesReader(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
-		registered := map[string]core.Upstream{}
-		now, revision := start, uint64(0)
+		store := storeModel{era: core.Era(rapid.IntRange(0, 1).Draw(t, "era"))}
+		store.change(map[string]core.Upstream{})
+		now, settled := start, start
+		read := func() {
+			update := store.list()
+			update.Evacuations = &replicator.Evacuations{Revision: store.revision, Zones: store.zones()}
+			reader.ApplyUpdate(update, now)
+		}
+		follow := func() {
+			before, hasContents := follower.Held(), follower.Snapshot().Upstreams != nil
+			update := reader.ChangesSince(before, now)
+			follower.ApplyUpdate(update, now)
+			after := follower.Held()
+			isSettling := update.Upstreams != nil && update.Upstreams.IsSettling
+			if after.Era > before.Era && hasContents || isSettling {
+				settled = now.Add(settleTime)
+			}
+			if after.Era < before.Era || after.Era == before.Era && after.Upstreams < before.Upstreams {
+				t.Fatal("the follower's revision decreased")
+			}
+			follower.Settle(now)
+			if !now.Before(settled) {
+				requireEqual(t, reader.Snapshot(), follower.Snapshot())
+			}
+		}
+		actions := []string{"change", "leave", "expire", "outage", "recovery", "evacuate", "restore", "follow"}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			follower.RecordStoreResponse(now)
 			name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
-			switch rapid.SampledFrom([]string{"change", "leave", "expire", "outage", "recovery", "evacuate", "follow"}).Draw(t, "action") {
+			registered := maps.Clone(store.registered)
+			switch rapid.SampledFrom(actions).Draw(t, "action") {
 			case "change":
 				changed := core.Upstream{Name: core.UpstreamName(name), Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
 				changed.Draining = rapid.Bool().Draw(t, "draining")
@@ -37,33 +65,84 @@
 			case "leave":
 				delete(registered, name)
 			case "expire":
-				reader.RemoveExpired(now)
+				reader.Settle(now)
 			case "outage":
 				reader.RecordStoreFailure()
 			case "recovery":
 				reader.RecordStoreResponse(now)
 			case "evacuate":
-				revision++
-				reader.ApplyUpdate(replicator.Snapshot{Evacuations: &replicator.Evacuations{Revision: revision}}, now)
+				store.isEvacuated = !store.isEvacuated
+			case "restore":
+				store.restore(rapid.IntRange(0, len(store.history)-1).Draw(t, "copy"))
+				read()
+				continue
 			case "follow":
-				before := follower.Snapshot().Revisions()
-				follower.ApplyUpdate(reader.ChangesSince(before, now), now)
-				if follower.Snapshot().Revisions().Upstreams < before.Upstreams {
-					t.Fatal("the follower's revision decreased")
-				}
-				requireEqual(t, reader.Snapshot(), follower.Snapshot())
+				follow()
 				continue
 			}
-			revision++
-			update := &replicator.Upstreams{Revision: revision}
-			for _, n := range slices.Sorted(maps.Keys(registered)) {
-				update.List = append(update.List, registered[n])
-			}
-			reader.ApplyUpdate(replicator.Snapshot{Upstreams: update}, now)
+			store.change(registered)
+			read()
 		}
+		read()
+		for range 25 { // longer than all grace periods and settle times together
+			now = now.Add(time.Second)
+			settle(reader, now)
+			follower.RecordStoreResponse(now)
+			follow()
+		}
+		requireEqual(t, reader.Snapshot(), follower.Snapshot())
+		requireListed(t, store.list().Upstreams.List, reader.Snapshot().Upstreams.List)
 	})
 }
 
+// storeModel is a store that can come back from an older copy of its own.
+type storeModel struct {
+	era         core.Era
+	revision    uint64
+	registered  map[string]core.Upstream
+	isEvacuated bool
+	history     []storeCopy
+}
+
+// storeCopy is the state of a storeModel at a revision.
+type storeCopy struct {
+	revision    uint64
+	registered  map[string]core.Upstream
+	isEvacuated bool
+}
+
+// change replaces the registrations and gives out a revision.
+func (s *storeModel) change(registered map[string]core.Upstream) {
+	s.revision++
+	s.registered = registered
+	s.history = append(s.history, storeCopy{revision: s.revision, registered: registered, isEvacuated: s.isEvacuated})
+}
+
+// restore makes the store come back from one of its copies.
+func (s *storeModel) restore(i int) {
+	copied := s.history[i]
+	s.history = s.history[:i+1]
+	s.era++
+	s.revision, s.registered, s.isEvacuated = copied.revision, copied.registered, copied.isEvacuated
+}
+
+// list returns the full list of registrations.
+func (s *storeModel) list() replicator.Snapshot {
+	update := &replicator.Upstreams{Revision: s.revision}
+	for _, name := range slices.Sorted(maps.Keys(s.registered)) {
+		update.List = append(update.List, s.registered[name])
+	}
+	return replicator.Snapshot{Era: s.era, Upstreams: update}
+}
+
+// zones returns the evacuated zones.
+func (s *storeModel) zones() []core.ZoneName {
+	if s.isEvacuated {
+		return []core.ZoneName{"for-a"}
+	}
+	return nil
+}
+
 // requireEqual fails the test where the follower's copy differs from the reader's.
 func requireEqual(t *rapid.T, reader, follower replicator.Snapshot) {
 	if reader.Revisions() != follower.Revisions() {
@@ -72,7 +151,15 @@
 	if reader.Upstreams == nil {
 		return
 	}
-	want, got := byName(reader.Upstreams.List), byName(follower.Upstreams.List)
+	requireListed(t, reader.Upstreams.List, follower.Upstreams.List)
+	if reader.Evacuations != nil && !slices.Equal(reader.Evacuations.Zones, follower.Evacuations.Zones) {
+		t.Fatalf("follower holds the zones %v, reader %v", follower.Evacuations.Zones, reader.Evacuations.Zones)
+	}
+}
+
+// requireListed fails the test where a follower's list differs from its reader's.
+func requireListed(t *rapid.T, reader, follower []core.Upstream) {
+	want, got := byName(reader), byName(follower)
 	for name, u := range want {
 		held := got[name]
 		// The remaining warm-up is exchanged in whole milliseconds, rounded down.
@@ -100,27 +187,32 @@
 
 // TestDeltasMatchFullLists guards against deltas that yield another list than full
 // lists do. One host gets full lists and one gets deltas, also after outages from which
-// registrations are missing. Both must hold the same upstreams after each step.
+// registrations are missing, and after the store has come back from older copies, between
+// which a delta says nothing. Both must hold the same upstreams after each step.
 func TestDeltasMatchFullLists(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		full, delta := &replicator.Replicator{}, &replicator.Replicator{}
-		registered, sent := map[string]core.Upstream{}, map[string]core.Upstream{}
-		now, sentRevision := start, uint64(0)
-		take := func(revision uint64) {
-			update := &replicator.Upstreams{Revision: revision}
-			for _, name := range slices.Sorted(maps.Keys(registered)) {
-				update.List = append(update.List, registered[name])
+		store, sent := storeModel{era: core.Era(rapid.IntRange(0, 1).Draw(t, "era"))}, storeModel{}
+		now := start
+		take := func() {
+			update := store.list()
+			full.ApplyUpdate(update, now)
+			if sent.revision > 0 {
+				update.Upstreams = deltaBetween(sent.registered, store.registered, sent.revision, store.revision)
 			}
-			full.ApplyUpdate(replicator.Snapshot{Upstreams: update}, now)
-			if sentRevision > 0 {
-				update = deltaBetween(sent, registered, sentRevision, revision)
+			delta.ApplyUpdate(update, now)
+			if sent.era != store.era {
+				delta.ApplyUpdate(store.list(), now)
 			}
-			delta.ApplyUpdate(replicator.Snapshot{Upstreams: update}, now)
-			sent, sentRevision = maps.Clone(registered), revision
+			sent = store
 		}
-		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"change", "change", "leave", "expire", "outage", "recovery"}).Draw(t, "action") {
+			registered := maps.Clone(store.registered)
+			if registered == nil {
+				registered = map[string]core.Upstream{}
+			}
+			switch rapid.SampledFrom([]string{"change", "change", "leave", "expire", "outage", "recovery", "restore"}).Draw(t, "action") {
 			case "change":
 				for range rapid.IntRange(1, 5).Draw(t, "number") {
 					name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
@@ -131,16 +223,24 @@
 					delete(registered, fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream")))
 				}
 			case "expire":
-				full.RemoveExpired(now)
-				delta.RemoveExpired(now)
+				full.Settle(now)
+				delta.Settle(now)
 			case "outage":
 				full.RecordStoreFailure()
 				delta.RecordStoreFailure()
 			case "recovery":
 				full.RecordStoreResponse(now)
 				delta.RecordStoreResponse(now)
+			case "restore":
+				if len(store.history) > 0 {
+					store.restore(rapid.IntRange(0, len(store.history)-1).Draw(t, "copy"))
+					take()
+					requireEqual(t, full.Snapshot(), delta.Snapshot())
+					continue
+				}
 			}
-			take(uint64(step + 1))
+			store.change(registered)
+			take()
 			requireEqual(t, full.Snapshot(), delta.Snapshot())
 		}
 	})
@@ -181,7 +281,7 @@
 	is := is.New(t)
 	is.Equal(len(names(follower)), 10)
 	ended := recovery.Add(3 * time.Second)
-	reader.RemoveExpired(ended)
+	reader.Settle(ended)
 	reader.ApplyUpdate(upstreams(61, "upstream-00", "upstream-10"), ended)
 	follow(ended)
 	is.Equal(names(reader), []string{"upstream-00", "upstream-10"})
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -17,10 +17,19 @@
 // the grace period ends. If only a few are missing, they left while only this host could
 // not reach the store, and are removed.
 //
+// The store may be restored from an older copy of its own. It then names a later era and
+// gives out its revisions again. A copy belongs to one era: updates of an earlier era are
+// ignored, and in a later era every part counts as never read, except for the policy. What
+// the older state in the store would undo is kept for a limited time. Missing upstreams and
+// evacuated zones are retained for the grace period, in which they are written again. An
+// upstream that has ended or drains stays so until its entry would have expired; an entry
+// that the store lists even then belongs to a live upstream.
+//
 // # Usage
 //
 //	r := &replicator.Replicator{OnChange: apply}
 //	r.ApplyUpdate(replicator.Snapshot{Upstreams: &list}, now)
+//	r.Settle(now) // periodically
 //	snapshot := r.Snapshot()
 //
 // Lock order: Replicator.mu is held while OnChange runs, so OnChange may take
@@ -28,34 +37,12 @@
 package replicator
 
 import (
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
 )
 
-// expiryGrace is the time after an outage of the store for which a missing upstream
-// is retained. Live upstreams register again within about two seconds.
-const expiryGrace = 2 * time.Second
-
-// minExpiredFraction is the fraction of the upstreams that must be missing for them
-// to count as expired rather than as having left.
-const minExpiredFraction = 0.2
-
-// missedHeartbeats is the number of heartbeats that upstreams must miss before their
-// registrations expire. The third one is late too if the store responds again just
-// before it is due.
-const missedHeartbeats = 2
-
-// maxQuietTime is the longest time between two responses of a store that is available: a
-// host probes the store at least every 1.5 s and waits as long for the response.
-const maxQuietTime = 3 * time.Second
-
-// defaultHeartbeat is the time between two heartbeats of an upstream where none is
-// stated.
-const defaultHeartbeat = 1500 * time.Millisecond
-
 // Policy is a core.RoutingPolicy in the form in which hosts exchange it, without its index.
 type Policy struct {
 	Version  uint64               `cbor:"1,keyasint"`
@@ -82,6 +69,9 @@
 	// MayIncludeExpired says that the list includes upstreams whose registrations may have
 	// expired.
 	MayIncludeExpired bool `cbor:"6,keyasint,omitempty"`
+	// IsSettling says that the list differs from the store's by what a host knew before the
+	// store was restored.
+	IsSettling bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Evacuations is the list of evacuated zones at a revision of the store. The upstreams of
@@ -89,6 +79,9 @@
 type Evacuations struct {
 	Revision uint64          `cbor:"1,keyasint"`
 	Zones    []core.ZoneName `cbor:"2,keyasint"`
+	// IsSettling says that the list includes zones of which a restored store may have lost
+	// the evacuation.
+	IsSettling bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Hosts is the list of registered hosts at a revision of the store.
@@ -112,15 +105,16 @@
 
 // Revisions returns the revisions of the parts.
 func (s Snapshot) Revisions() core.Revisions {
-	var r core.Revisions
+	r := core.Revisions{Era: s.Era}
 	if s.Policy != nil {
 		r.Policy = s.Policy.Version
 	}
 	if s.Upstreams != nil {
 		r.Upstreams, r.MayIncludeExpired = s.Upstreams.Revision, s.Upstreams.MayIncludeExpired
+		r.UpstreamsSettling = s.Upstreams.IsSettling
 	}
 	if s.Evacuations != nil {
-		r.Evacuations = s.Evacuations.Revision
+		r.Evacuations, r.EvacuationsSettling = s.Evacuations.Revision, s.Evacuations.IsSettling
 	}
 	if s.Hosts != nil {
 		r.Hosts = s.Hosts.Revision
@@ -139,17 +133,24 @@
 	// OnChange is called after each change with the current state. The last argument
 	// holds only the parts that changed.
 	OnChange func(now time.Time, current, changed Snapshot)
+	// OnRestore is called after a copy with contents has entered a later era of the store,
+	// once for each era that it enters. It may call the Replicator.
+	OnRestore func(earlier, era core.Era)
 	// UpstreamHeartbeatInterval is the time between two heartbeats that an upstream sends
 	// to the store; 0 means the default. Registrations may have expired if the store did
 	// not respond for several of them.
 	UpstreamHeartbeatInterval time.Duration
 
-	mu      sync.Mutex
-	current Snapshot
-	changes changeLog
+	mu sync.Mutex
+	// listed is the copy as the store or another host gave it. current differs from it in
+	// what the host retains or corrects; parts that do not differ are the same pointers.
+	listed, current Snapshot
+	changes         changeLog
+	removals        removals
+	restoration     restoration
 	// retained are the upstreams of the copy that are missing from the store, but may
 	// only have expired.
-	retained     map[core.UpstreamName]core.Upstream
+	retained     []core.Upstream
 	lastResponse time.Time
 	// hasFailed says that a call to the store has failed since lastResponse.
 	hasFailed  bool
@@ -163,94 +164,103 @@
 	return r.current
 }
 
-// RecordStoreResponse records a response of the store to any call, or that a host which
-// reads the store confirmed the copy. After an outage it starts the grace period.
-func (r *Replicator) RecordStoreResponse(now time.Time) {
+// Held returns the revisions of what the copy was last given. They are those of Snapshot,
+// but do not tell what this host itself retains beyond that.
+func (r *Replicator) Held() core.Revisions {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isStoreOut(now) {
-		r.graceUntil = now.Add(expiryGrace)
-	}
-	r.lastResponse, r.hasFailed = now, false
-}
-
-// isStoreOut reports whether the store has not responded for so long that registrations of
-// live upstreams may have expired. The caller holds Replicator.mu.
-func (r *Replicator) isStoreOut(now time.Time) bool {
-	if r.lastResponse.IsZero() {
-		return r.hasFailed
-	}
-	silence := now.Sub(r.lastResponse)
-	return silence > missedHeartbeats*r.heartbeat() && (r.hasFailed || silence > maxQuietTime)
+	return r.listed.Revisions()
 }
 
-// heartbeat returns the time between two heartbeats of an upstream.
-func (r *Replicator) heartbeat() time.Duration {
-	if r.UpstreamHeartbeatInterval <= 0 {
-		return defaultHeartbeat
+// ApplyUpdate merges the parts of the update that are newer than the copy. An update of a
+// later era makes the copy enter that era, and one of an earlier era can only replace the
+// policy.
+func (r *Replicator) ApplyUpdate(update Snapshot, now time.Time) {
+	earlier, isRestored := r.apply(update, now)
+	if isRestored && r.OnRestore != nil {
+		r.OnRestore(earlier, update.Era)
 	}
-	return r.UpstreamHeartbeatInterval
 }
 
-// RecordStoreFailure records a failed call to the store.
-func (r *Replicator) RecordStoreFailure() {
+// apply is ApplyUpdate without the call of OnRestore. It returns the era that the copy had
+// before, and whether the update made a copy with contents enter a later one.
+func (r *Replicator) apply(update Snapshot, now time.Time) (core.Era, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hasFailed = true
+	earlier := r.current.Era
+	isRestored := update.Era > earlier && r.enterEra(update.Era, now)
+	var changed Snapshot
+	if p := update.Policy; p != nil && p.Version > r.current.Revisions().Policy {
+		r.listed.Policy, r.current.Policy, changed.Policy = p, p, p
+	}
+	if update.Era == r.current.Era {
+		r.applyLists(update, &changed, now)
+	}
+	r.notify(changed, now)
+	return earlier, isRestored
 }
 
-// mayHaveExpired reports whether upstreams that are missing from the store may only have
-// expired: during an outage, and in the grace period after it. The caller holds
+// enterEra makes the copy one of a later era of the store. Its contents stay until they are
+// replaced, but count as never read. It reports whether there are any. The caller holds
 // Replicator.mu.
-func (r *Replicator) mayHaveExpired(now time.Time) bool {
-	return now.Before(r.graceUntil) || r.isStoreOut(now)
-}
-
-// ApplyUpdate merges the parts of the update that are newer than the copy.
-func (r *Replicator) ApplyUpdate(update Snapshot, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var changed Snapshot
-	held := r.current.Revisions()
-	if update.Policy != nil && update.Policy.Version > held.Policy {
-		r.current.Policy, changed.Policy = update.Policy, update.Policy
+func (r *Replicator) enterEra(era core.Era, now time.Time) bool {
+	u, e, h := r.current.Upstreams, r.current.Evacuations, r.current.Hosts
+	hasContents := u != nil || e != nil || h != nil
+	if hasContents {
+		r.restoration = newRestoration(r.current, r.removals, r.heartbeat(), now)
 	}
-	if u := update.Upstreams; u != nil && (r.current.Upstreams == nil || held.HasOlderUpstreams(update.Revisions())) {
-		if full, ok := u.applyTo(r.registered(), now); ok {
-			r.setUpstreams(r.retainMissing(full, now))
-			changed.Upstreams = r.current.Upstreams
-		}
+	if u != nil {
+		r.current.Upstreams = &Upstreams{List: u.List}
 	}
-	if e := update.Evacuations; e != nil && (r.current.Evacuations == nil || e.Revision > r.current.Evacuations.Revision) {
-		r.current.Evacuations, changed.Evacuations = e, e
+	if e != nil {
+		r.current.Evacuations = &Evacuations{Zones: e.Zones}
 	}
-	if h := update.Hosts; h != nil && (r.current.Hosts == nil || h.Revision > r.current.Hosts.Revision) {
-		r.current.Hosts, changed.Hosts = h, h
+	if h != nil {
+		r.current.Hosts = &Hosts{List: h.List}
 	}
-	r.notify(changed, now)
+	r.current.Era = era
+	r.listed, r.retained = r.current, nil
+	return hasContents
 }
 
-// registered returns the upstreams of the copy without the retained ones. The caller
-// holds Replicator.mu.
-func (r *Replicator) registered() *Upstreams {
-	current := r.current.Upstreams
-	if len(r.retained) == 0 {
-		return current
-	}
-	registered := &Upstreams{Revision: current.Revision}
-	for _, u := range current.List {
-		if _, isRetained := r.retained[u.Name]; !isRetained {
-			registered.List = append(registered.List, u)
+// applyLists merges the lists of an update of the copy's own era. The caller holds
+// Replicator.mu.
+func (r *Replicator) applyLists(update Snapshot, changed *Snapshot, now time.Time) {
+	held, offered := r.listed.Revisions(), update.Revisions()
+	if u := update.Upstreams; u != nil && (r.listed.Upstreams == nil || held.HasOlderUpstreams(offered)) {
+		if full, ok := u.applyTo(r.listed.Upstreams, now); ok {
+			r.listed.Upstreams = full
+			r.refreshUpstreams(changed, now)
+			if full.IsSettling {
+				r.restoration.join(r.heartbeat(), now)
+			}
 		}
 	}
-	return registered
+	if e := update.Evacuations; e != nil && (r.listed.Evacuations == nil || held.HasOlderEvacuations(offered)) {
+		r.listed.Evacuations = e
+		r.current.Evacuations = r.restoration.retainZones(e, now)
+		changed.Evacuations = r.current.Evacuations
+	}
+	if h := update.Hosts; h != nil && (r.listed.Hosts == nil || h.Revision > held.Hosts) {
+		r.listed.Hosts, r.current.Hosts, changed.Hosts = h, h, h
+	}
 }
 
-// setUpstreams replaces the list and records what changed. The caller holds
-// Replicator.mu.
-func (r *Replicator) setUpstreams(next *Upstreams) {
-	r.changes.record(r.current.Upstreams, next)
-	r.current.Upstreams = next
+// refreshUpstreams derives the upstreams of the copy from the list that it was given. The
+// caller holds Replicator.mu.
+func (r *Replicator) refreshUpstreams(changed *Snapshot, now time.Time) {
+	before := r.current.Upstreams
+	next := r.retainMissing(r.restoration.correct(r.listed.Upstreams, before), now)
+	if next == before {
+		return
+	}
+	r.changes.record(before, next)
+	if r.removals == nil {
+		r.removals = removals{}
+	}
+	r.removals.record(before, next, now)
+	r.restoration.recordEnded(before, next)
+	r.current.Upstreams, changed.Upstreams = next, next
 }
 
 // notify calls OnChange unless nothing changed. The caller holds Replicator.mu.
@@ -261,54 +271,27 @@
 	r.OnChange(now, r.current, changed)
 }
 
-// retainMissing returns the list with the upstreams that are missing from it but may
-// only have expired. The caller holds Replicator.mu.
-func (r *Replicator) retainMissing(update *Upstreams, now time.Time) *Upstreams {
-	r.retained = r.possiblyExpired(update, now)
-	if len(r.retained) == 0 {
-		return update
-	}
-	extended := &Upstreams{Revision: update.Revision, MayIncludeExpired: true, List: slices.Clone(update.List)}
-	for _, u := range r.retained {
-		extended.List = append(extended.List, u)
-	}
-	sortByName(extended.List)
-	return extended
-}
-
-// possiblyExpired returns the upstreams of the copy that are missing from the update
-// and whose registrations may have expired during an outage. The caller holds
-// Replicator.mu.
-func (r *Replicator) possiblyExpired(update *Upstreams, now time.Time) map[core.UpstreamName]core.Upstream {
-	if r.current.Upstreams == nil || !r.mayHaveExpired(now) {
-		return nil
+// Settle takes the lists as they were given once there is no more reason to differ from
+// them. It removes the retained upstreams and zones when the grace period has ended: by
+// then, live upstreams have registered again. It no longer corrects the list of upstreams
+// when the store has responded at the end of the settle time or later. Call it periodically.
+func (r *Replicator) Settle(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed Snapshot
+	if r.current.Evacuations != r.listed.Evacuations && !r.restoration.isGrace(now) {
+		r.current.Evacuations, changed.Evacuations = r.listed.Evacuations, r.listed.Evacuations
 	}
-	isListed := make(map[core.UpstreamName]bool, len(update.List))
-	for _, u := range update.List {
-		isListed[u.Name] = true
+	hasExpired := len(r.retained) > 0 && !r.mayHaveExpired(now)
+	hasSettled := r.restoration.isOver(r.lastResponse)
+	if hasSettled {
+		r.restoration = restoration{}
 	}
-	missing := map[core.UpstreamName]core.Upstream{}
-	for _, u := range r.current.Upstreams.List {
-		if !isListed[u.Name] && !u.Draining {
-			missing[u.Name] = u
-		}
+	if hasExpired || hasSettled && r.current.Upstreams != r.listed.Upstreams {
+		r.refreshUpstreams(&changed, now)
 	}
-	if float64(len(missing)) < minExpiredFraction*float64(len(r.current.Upstreams.List)) {
-		return nil
+	if !r.restoration.isSettling() {
+		r.removals.forgetOld(now)
 	}
-	return missing
-}
-
-// RemoveExpired removes the retained upstreams once the grace period has ended: by then,
-// upstreams that are live have registered again.
-func (r *Replicator) RemoveExpired(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.retained) == 0 || r.mayHaveExpired(now) {
-		return
-	}
-	next := r.registered()
-	r.retained = nil
-	r.setUpstreams(next)
-	r.notify(Snapshot{Upstreams: next}, now)
+	r.notify(changed, now)
 }
--- a/core/replicator/replicator_test.go
+++ b/core/replicator/replicator_test.go
@@ -73,11 +73,11 @@
 	r.ApplyUpdate(upstreams(60, "upstream-00", "upstream-01"), recovery)
 	is.Equal(len(names(r)), 10)
 	r.ApplyUpdate(upstreams(66, manyNames(9)...), recovery.Add(time.Second))
-	r.RemoveExpired(recovery.Add(time.Second))
+	r.Settle(recovery.Add(time.Second))
 	is.Equal(len(names(r)), 9) // one of ten is missing, so it has left
 	r.ApplyUpdate(upstreams(70, "upstream-00"), recovery.Add(1500*time.Millisecond))
 	is.Equal(len(names(r)), 9)
-	r.RemoveExpired(recovery.Add(3 * time.Second))
+	r.Settle(recovery.Add(3 * time.Second))
 	is.Equal(len(names(r)), 1)
 }
 
@@ -204,7 +204,7 @@
 	for i := range 5 {
 		now := start.Add(6*time.Second + time.Duration(i)*500*time.Millisecond)
 		r.RecordStoreResponse(now)
-		r.RemoveExpired(now)
+		r.Settle(now)
 		is.Equal(len(names(r)) == 20, i < 4)
 	}
 	is.Equal(len(names(r)), 2)
--- /dev/null
+++ b/core/replicator/restore.go
@@ -0,0 +1,160 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+// expiryHeartbeats is the number of heartbeats after which the store removes the entry of a
+// silent upstream.
+const expiryHeartbeats = 3
+
+// restoration is what a copy knew when the store came back from an older copy. For a limited
+// time the older state in the store does not undo it. The zero value knows nothing.
+type restoration struct {
+	// removed holds the last incarnation of each upstream that is known to have ended: it was
+	// removed lately before the restore, was followed by a later one, or was draining at the
+	// restore and then removed.
+	removed map[core.UpstreamName]core.Incarnation
+	// zones are the evacuated zones that the store has not listed since.
+	zones []core.ZoneName
+	// graceUntil is the time until which the operator and live upstreams write again.
+	graceUntil time.Time
+	// settledAt is the time from which the entry of every upstream that has ended is gone.
+	// Only a response of the store since then shows which entries are left.
+	settledAt time.Time
+}
+
+// newRestoration returns what the copy knows at the time of a restore.
+func newRestoration(copied Snapshot, removed removals, heartbeat time.Duration, now time.Time) restoration {
+	s := restoration{
+		removed:    removed.incarnations(),
+		graceUntil: now.Add(expiryGrace),
+		settledAt:  now.Add(settleTime(heartbeat)),
+	}
+	if copied.Evacuations != nil {
+		s.zones = slices.Clone(copied.Evacuations.Zones)
+	}
+	if copied.Upstreams == nil {
+		return s
+	}
+	for _, u := range copied.Upstreams.List {
+		s.recordEarlier(u)
+	}
+	return s
+}
+
+// settleTime returns the time after a restore for which the store may list upstreams in an
+// older state.
+func settleTime(heartbeat time.Duration) time.Duration {
+	return expiryHeartbeats*heartbeat + expiryGrace
+}
+
+// join makes a copy that was not restored keep what a settling list of another host says
+// about upstreams: the store may still list them in an older state.
+func (s *restoration) join(heartbeat time.Duration, now time.Time) {
+	if !s.isSettling() {
+		*s = restoration{removed: map[core.UpstreamName]core.Incarnation{}, settledAt: now.Add(settleTime(heartbeat))}
+	}
+}
+
+// isGrace reports whether the operator and live upstreams may still have to write again.
+func (s *restoration) isGrace(now time.Time) bool {
+	return now.Before(s.graceUntil)
+}
+
+// isSettling reports whether the lists of the store are still corrected.
+func (s *restoration) isSettling() bool {
+	return !s.settledAt.IsZero()
+}
+
+// isOver reports whether a store that last responded at the given time lists no upstream in
+// an older state.
+func (s *restoration) isOver(lastResponse time.Time) bool {
+	return s.isSettling() && !lastResponse.Before(s.settledAt)
+}
+
+// correct returns the list of the store without what the copy knows to be outdated. Until
+// the copy has settled, an upstream that was removed stays removed and one that drains goes
+// on draining, unless it has started again, and it stays cold as long as either says.
+func (s *restoration) correct(listed, known *Upstreams) *Upstreams {
+	if known == nil || !s.isSettling() {
+		return listed
+	}
+	isCorrected := false
+	list := make([]core.Upstream, 0, len(listed.List))
+	for _, u := range listed.List {
+		held, isHeld := find(known.List, u.Name)
+		if s.hasEnded(u) || isHeld && u.Incarnation < held.Incarnation {
+			isCorrected = true
+			continue
+		}
+		corrected := u
+		if isHeld && u.Incarnation == held.Incarnation {
+			corrected = withLaterState(u, held)
+		}
+		isCorrected = isCorrected || corrected != u
+		list = append(list, corrected)
+	}
+	if !isCorrected {
+		return listed
+	}
+	return &Upstreams{Revision: listed.Revision, List: list, MayIncludeExpired: listed.MayIncludeExpired, IsSettling: true}
+}
+
+// hasEnded reports whether this incarnation of the upstream is known to have ended.
+func (s *restoration) hasEnded(u core.Upstream) bool {
+	last, ok := s.removed[u.Name]
+	return ok && u.Incarnation <= last
+}
+
+// recordEnded adds what the upstreams that are missing from the list after a change say: if
+// the store lists a draining one as ready once more, or an earlier incarnation, it does so
+// in an older state.
+func (s *restoration) recordEnded(before, after *Upstreams) {
+	if before == nil || !s.isSettling() {
+		return
+	}
+	for _, u := range before.List {
+		if _, isListed := find(after.List, u.Name); isListed {
+			continue
+		}
+		if u.Draining {
+			s.removed[u.Name] = u.Incarnation
+		} else {
+			s.recordEarlier(u)
+		}
+	}
+}
+
+// recordEarlier records that the incarnations before the upstream's have ended.
+func (s *restoration) recordEarlier(u core.Upstream) {
+	if u.Incarnation > 0 {
+		s.removed[u.Name] = u.Incarnation - 1
+	}
+}
+
+// withLaterState returns the listed upstream, draining and cold as the held one of the same
+// incarnation is.
+func withLaterState(listed, held core.Upstream) core.Upstream {
+	listed.Draining = listed.Draining || held.Draining
+	if held.ColdUntil.After(listed.ColdUntil) {
+		listed.ColdUntil = held.ColdUntil
+	}
+	return listed
+}
+
+// retainZones returns the list of the store with the evacuated zones that the operator may
+// still have to write again. A zone that the store has listed since the restore is no longer
+// retained.
+func (s *restoration) retainZones(listed *Evacuations, now time.Time) *Evacuations {
+	s.zones = slices.DeleteFunc(s.zones, func(zone core.ZoneName) bool { return slices.Contains(listed.Zones, zone) })
+	if len(s.zones) == 0 || !s.isGrace(now) {
+		return listed
+	}
+	zones := slices.Concat(listed.Zones, s.zones)
+	slices.Sort(zones)
+	return &Evacuations{Revision: listed.Revision, Zones: zones, IsSettling: true}
+}
--- a/core/revisions.go
+++ b/core/revisions.go
@@ -19,18 +19,56 @@
 	MayIncludeExpired bool `cbor:"5,keyasint,omitempty" json:"has-lapsed,omitempty"`
 	// Era is the era of the store to which Upstreams, Evacuations and Hosts belong.
 	Era Era `cbor:"6,keyasint,omitempty" json:"era,omitempty"`
+	// UpstreamsSettling and EvacuationsSettling say that these parts differ from the store's
+	// by what a host knew before the store was restored.
+	UpstreamsSettling   bool `cbor:"7,keyasint,omitempty" json:"upstreams-settling,omitempty"`
+	EvacuationsSettling bool `cbor:"8,keyasint,omitempty" json:"evacuations-settling,omitempty"`
 }
 
 // IsBehind reports whether at least one part of the other copy is newer.
 func (r Revisions) IsBehind(other Revisions) bool {
-	return r.Policy < other.Policy || r.HasOlderUpstreams(other) ||
-		r.Evacuations < other.Evacuations || r.Hosts < other.Hosts
+	if r.Policy < other.Policy || r.Era < other.Era {
+		return true
+	}
+	return r.HasOlderUpstreams(other) || r.HasOlderEvacuations(other) || r.Era == other.Era && r.Hosts < other.Hosts
 }
 
 // HasOlderUpstreams reports whether the upstreams of the other copy are newer than those
-// of this one: they have a higher revision, or the same revision and only this copy
-// holds upstreams that may have expired.
+// of this one: they are of a later era, or have a higher revision in the same era, or the
+// same revision and differ less from what the store lists.
 func (r Revisions) HasOlderUpstreams(other Revisions) bool {
-	return r.Upstreams < other.Upstreams ||
-		r.Upstreams == other.Upstreams && r.MayIncludeExpired && !other.MayIncludeExpired
+	if r.Era != other.Era {
+		return r.Era < other.Era
+	}
+	if r.Upstreams != other.Upstreams {
+		return r.Upstreams < other.Upstreams
+	}
+	return r.upstreamsStage() > other.upstreamsStage()
+}
+
+// upstreamsStage returns how many of the differences between the upstreams and the store's
+// are still to end. Upstreams that may have expired are removed first.
+func (r Revisions) upstreamsStage() int {
+	switch {
+	case r.MayIncludeExpired && r.UpstreamsSettling:
+		return 3
+	case r.MayIncludeExpired:
+		return 2
+	case r.UpstreamsSettling:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// HasOlderEvacuations reports whether the evacuated zones of the other copy are newer than
+// those of this one, as HasOlderUpstreams does for upstreams.
+func (r Revisions) HasOlderEvacuations(other Revisions) bool {
+	if r.Era != other.Era {
+		return r.Era < other.Era
+	}
+	if r.Evacuations != other.Evacuations {
+		return r.Evacuations < other.Evacuations
+	}
+	return r.EvacuationsSettling && !other.EvacuationsSettling
 }
--- a/entry/controller/recovery_test.go
+++ b/entry/controller/recovery_test.go
@@ -189,7 +189,7 @@
 	kept := c.upstreamCount()
 	time.Sleep(1900 * time.Millisecond)
 	c.RecordStoreResponse(time.Now()) // another one
-	c.replicator.RemoveExpired(time.Now())
+	c.replicator.Settle(time.Now())
 	keptLonger := c.upstreamCount()
 	stop()
 	group.Wait()
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -121,7 +121,7 @@
 // runPeriodicTasks runs the host's periodic tasks until ctx ends.
 func (c *Controller) runPeriodicTasks(ctx context.Context) {
 	waiter.Every(ctx, taskInterval, func(now time.Time) {
-		c.replicator.RemoveExpired(now)
+		c.replicator.Settle(now)
 		c.exchanger.CloseExpiredConnections(now)
 		c.divideSharedLimits(now)
 		c.placer.ForgetOldLimits(now)
