Exchange the era of the store between hosts

Hosts of an older build ignore the fields, and get full lists meanwhile since they name no era.

Evidence: TestMessageFormat and TestHeldFormat with two new golden files.

--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -48,6 +48,13 @@
 	return heartbeat
 }
 
+// restoredBeat is the heartbeat of a host whose store was restored lately.
+func restoredBeat() roster.Heartbeat {
+	heartbeat := fullBeat
+	heartbeat.Revisions.Era, heartbeat.Revisions.UpstreamsSettling, heartbeat.Revisions.EvacuationsSettling = 13, true, true
+	return heartbeat
+}
+
 // fullSnapshot has every field set that hosts pass on.
 var fullSnapshot = replicator.Snapshot{
 	Policy: &replicator.Policy{
@@ -75,6 +82,13 @@
 	Hosts:       &replicator.Hosts{Revision: 23, List: []core.Host{fullHost}},
 }
 
+// restoredSnapshot is the snapshot of a host whose store was restored lately.
+func restoredSnapshot() replicator.Snapshot {
+	upstreams, evacuations := *fullSnapshot.Upstreams, *fullSnapshot.Evacuations
+	upstreams.IsSettling, evacuations.IsSettling = true, true
+	return replicator.Snapshot{Era: 13, Upstreams: &upstreams, Evacuations: &evacuations}
+}
+
 // TestMessageFormat compares heartbeats and copies of the store with golden files.
 func TestMessageFormat(t *testing.T) {
 	tests := []struct {
@@ -88,7 +102,9 @@
 		{"heartbeat-with-ended-limit", limitBeat("desk-1", core.NewRateLimitNotice(0, false, 1200*time.Millisecond))},
 		{"heartbeat-with-loan", lendingBeat(5, false)},
 		{"heartbeat-of-borrower", lendingBeat(0, true)},
+		{"heartbeat-after-restore", restoredBeat()},
 		{"snapshot", fullSnapshot},
+		{"snapshot-after-restore", restoredSnapshot()},
 		{"snapshot-unread", replicator.Snapshot{}},
 	}
 	for _, tt := range tests {
@@ -121,6 +137,12 @@
 	is.Equal(heartbeater.EncodeRevisions(fullBeat.Revisions), "evacuations=7&has-lapsed=true&hosts=11&policy=3&upstreams=5")
 	query := map[string]string{"evacuations": "7", "has-lapsed": "true", "hosts": "11", "policy": "3", "upstreams": "5"}
 	is.Equal(heartbeater.DecodeRevisions(func(name string) string { return query[name] }), fullBeat.Revisions)
+
+	restored := restoredBeat().Revisions
+	is.Equal(heartbeater.EncodeRevisions(restored),
+		"era=13&evacuations=7&evacuations-settling=true&has-lapsed=true&hosts=11&policy=3&upstreams=5&upstreams-settling=true")
+	query["era"], query["evacuations-settling"], query["upstreams-settling"] = "13", "true", "true"
+	is.Equal(heartbeater.DecodeRevisions(func(name string) string { return query[name] }), restored)
 }
 
 // recordingConn receives one datagram and keeps those that are sent.
--- a/entry/heartbeater/snapshot.go
+++ b/entry/heartbeater/snapshot.go
@@ -24,6 +24,10 @@
 	queryEvacuations = "evacuations"
 	queryHosts       = "hosts"
 	queryHasExpired  = "has-lapsed"
+	queryEra         = "era"
+
+	queryUpstreamsSettling   = "upstreams-settling"
+	queryEvacuationsSettling = "evacuations-settling"
 )
 
 // EncodeRevisions returns the query of SnapshotPath with the revisions that a host has.
@@ -34,6 +38,15 @@
 	query.Set(queryEvacuations, strconv.FormatUint(held.Evacuations, 10))
 	query.Set(queryHosts, strconv.FormatUint(held.Hosts, 10))
 	query.Set(queryHasExpired, strconv.FormatBool(held.MayIncludeExpired))
+	if held.Era > 0 {
+		query.Set(queryEra, strconv.FormatUint(uint64(held.Era), 10))
+	}
+	if held.UpstreamsSettling {
+		query.Set(queryUpstreamsSettling, "true")
+	}
+	if held.EvacuationsSettling {
+		query.Set(queryEvacuationsSettling, "true")
+	}
 	return query.Encode()
 }
 
@@ -54,6 +67,10 @@
 		Evacuations:       revision(queryEvacuations),
 		Hosts:             revision(queryHosts),
 		MayIncludeExpired: query(queryHasExpired) == "true",
+		Era:               core.Era(revision(queryEra)),
+
+		UpstreamsSettling:   query(queryUpstreamsSettling) == "true",
+		EvacuationsSettling: query(queryEvacuationsSettling) == "true",
 	}
 }
 
