Follow the era of the store on a running host

A follower also went on with lists that its reader no longer had, or counted lists of its own as confirmed by a reader that had not heard of the restore.

Change: the changes of a watch carry their era. A host whose reader is of an earlier era reads the store itself until the reader knows the era. OnStoreRestored is called, outside of all locks, once for each era that the host enters after another one, whoever told it; the log has store-restored (307) with both eras, and the gauge store_era shows the present one. A host compares what it was given, not what it retains, with its reader's revisions.

Evidence: TestFollowerLearnsOfRestore, TestReaderOfEarlierEra and TestChangesOfOtherEra; run with the race detector too.

Note: in a rolling upgrade, a host of this build that has read an era itself does not follow a reader of an older build, which names none, and reads the store itself meanwhile.

--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/entry/logger"
 )
 
@@ -138,6 +139,15 @@
 	}
 }
 
+// handleStoreRestored is called when the host learns that the store came back from an older
+// copy, in which the host's own entries may be missing.
+func (c *Controller) handleStoreRestored(earlier, era core.Era) {
+	c.Log.Event(logger.StoreRestored).Uint64("era", uint64(era)).Uint64("earlier", uint64(earlier)).Send()
+	if c.OnStoreRestored != nil {
+		c.OnStoreRestored(era)
+	}
+}
+
 // RecordStoreFailure records a failed call to the store. Until the next response the
 // host's snapshot does not count as current: the host looks for a newer one at other
 // hosts, and does not reject requests without a matching route for good.
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -100,6 +100,10 @@
 	// RenewWatches makes the user repeat its pending watches of the store; it may be nil.
 	// It is called when the store responds again after failed calls.
 	RenewWatches func()
+	// OnStoreRestored is called once for each later era of the store that the host learns of
+	// after its first lists, from the store or from another host. What this host wrote to the
+	// store shortly before may be lost. It may be nil, and may call the Controller.
+	OnStoreRestored func(era core.Era)
 	// Unregister removes the host from the list of hosts in the store; nil if there
 	// is no such list.
 	Unregister func()
@@ -144,7 +148,11 @@
 		c.Meter = meter.New()
 	}
 	dial := caller.NewDialer(unackedTimeout)
-	c.replicator = &replicator.Replicator{OnChange: c.apply, UpstreamHeartbeatInterval: c.Bounds.UpstreamHeartbeatInterval}
+	c.replicator = &replicator.Replicator{
+		OnChange:                  c.apply,
+		OnRestore:                 c.handleStoreRestored,
+		UpstreamHeartbeatInterval: c.Bounds.UpstreamHeartbeatInterval,
+	}
 	c.pacer = &pacer.Pacer{Self: c.Self.Name, RateMultiplier: c.Bounds.WarmUpRateMultiplier, Burst: c.Bounds.WarmUpBurst}
 	c.placer = &placer.Placer{
 		Zone:           c.Self.Zone,
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -51,7 +51,7 @@
 	isStarting := c.IsFirstStart && c.SetReadMode != nil
 	waiter.Every(ctx, followInterval, func(now time.Time) {
 		reader, revisions, ok := c.roster.Reader(now)
-		ok = ok && (c.isReady.Load() || c.IsFirstStart)
+		ok = ok && (c.isReady.Load() || c.IsFirstStart) && c.knowsEra(revisions)
 		if !ok && isStarting && c.isAwaitingReader(now.Sub(started), now) {
 			return
 		}
@@ -65,6 +65,12 @@
 	})
 }
 
+// knowsEra reports whether another host's copy is of this host's era of the store or a
+// later one. If it is of an earlier era, it says nothing about the store as it is now.
+func (c *Controller) knowsEra(revisions core.Revisions) bool {
+	return revisions.Era >= c.replicator.Held().Era
+}
+
 // isAwaitingReader reports whether a host of a fleet that starts for the first time
 // still leaves the reads of the store to others. It reads the list of hosts once they
 // have registered, and then waits for the host that should read the store for it.
@@ -112,7 +118,7 @@
 // syncWithReader fetches the changes that the reader's snapshot has beyond the host's
 // own. If there are none, the host's snapshot is as new as the reader's.
 func (c *Controller) syncWithReader(reader core.Host, revisions core.Revisions, now time.Time) {
-	held := c.replicator.Snapshot().Revisions()
+	held := c.replicator.Held()
 	if !held.IsBehind(revisions) {
 		c.replicator.RecordStoreResponse(now)
 		c.storeStatus.confirmSnapshot(now)
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -20,6 +20,7 @@
 		"is_ready":           func() float64 { return boolToFloat(c.IsServing()) },
 		"policy_version":     func() float64 { return float64(c.replicator.Snapshot().Revisions().Policy) },
 		"upstreams_revision": func() float64 { return float64(c.replicator.Snapshot().Revisions().Upstreams) },
+		"store_era":          func() float64 { return float64(c.replicator.Snapshot().Era) },
 		"store_confirmed":    func() float64 { return boolToFloat(c.storeStatus.isSnapshotCurrent(time.Now())) },
 		"store_age_seconds": func() float64 {
 			return c.storeStatus.timeSinceResponse(time.Now()).Seconds()
--- /dev/null
+++ b/entry/controller/restore_test.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/replicator"
+	"github.com/endiverun/endiverun/core/roster"
+	"github.com/endiverun/endiverun/entry/watcher"
+)
+
+// restoredLists returns the lists of a store that was restored once and lists one upstream.
+func restoredLists(upstream core.Upstream) replicator.Snapshot {
+	return replicator.Snapshot{
+		Era:         1,
+		Upstreams:   &replicator.Upstreams{Revision: 1, List: []core.Upstream{upstream}},
+		Evacuations: &replicator.Evacuations{Revision: 1},
+		Hosts:       &replicator.Hosts{Revision: 1},
+	}
+}
+
+// TestFollowerLearnsOfRestore guards against a follower that goes on with the lists of before
+// a restore of the store, whose revisions are higher than its reader's, and against one that
+// never checks its own registration. It must report the restore once.
+func TestFollowerLearnsOfRestore(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4, Incarnation: 1}
+	reader, follower := newController("reader", upstream), newController("follower", upstream)
+	reader.Self.Capacity = 1
+	for _, c := range []*Controller{reader, follower} {
+		c.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: 5000, List: []core.Upstream{upstream}}}, time.Now())
+	}
+	follower.SetReadMode = func(ReadMode) {}
+	address := serveSnapshots(t, reader)
+	follower.SnapshotAddress = func(core.Host) string { return address }
+	restored := make(chan core.Era, 8)
+	follower.OnStoreRestored = func(era core.Era) {
+		_ = follower.newHeartbeat() // Callers may use the host.
+		restored <- era
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.followReader(ctx)
+	}()
+	upstream.Incarnation, upstream.Slots = 2, 8
+	reader.ApplyUpdate(restoredLists(upstream), time.Now())
+	for follower.replicator.Snapshot().Upstreams.List[0].Slots != upstream.Slots {
+		revisions := reader.replicator.Snapshot().Revisions()
+		receiveHeartbeats(follower, roster.Heartbeat{Host: reader.Self, Ready: true, ReadsStore: true, Revisions: revisions})
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * followInterval)
+	stop()
+	<-done
+	is.Equal(<-restored, core.Era(1))
+	is.Equal(len(restored), 0)
+	is.Equal(follower.Meter.Snapshot().Gauges["store_era"], 1.0)
+	is.True(follower.storeStatus.isSnapshotCurrent(time.Now()))
+}
+
+// TestReaderOfEarlierEra guards against a host that counts its lists as confirmed by a reader
+// that has not heard of a restore of the store yet, and ignores that reader's lists: it must
+// read the store itself until the reader knows the era.
+func TestReaderOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	reader, follower := newController("reader", upstream), newController("follower", upstream)
+	reader.Self.Capacity = 1
+	var isReading atomic.Bool
+	follower.SetReadMode = func(reading ReadMode) { isReading.Store(reading == ReadAll) }
+	address := serveSnapshots(t, reader)
+	follower.SnapshotAddress = func(core.Host) string { return address }
+	follower.readMode.Store(int32(ReadNone))
+	follower.ApplyUpdate(restoredLists(upstream), time.Now())
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.followReader(ctx)
+	}()
+	awaitReading := func(want bool) {
+		for isReading.Load() != want {
+			revisions := reader.replicator.Snapshot().Revisions()
+			receiveHeartbeats(follower, roster.Heartbeat{Host: reader.Self, Ready: true, ReadsStore: true, Revisions: revisions})
+			time.Sleep(time.Millisecond)
+		}
+	}
+	awaitReading(true)
+	is.True(!follower.storeStatus.isSnapshotCurrent(time.Now()))
+	reader.ApplyUpdate(restoredLists(upstream), time.Now())
+	awaitReading(false)
+	stop()
+	<-done
+}
+
+// TestChangesOfOtherEra guards against changes that a watch of a restored store returns after
+// a revision of before the restore: they are no delta of the host's list.
+func TestChangesOfOtherEra(t *testing.T) {
+	is := is.New(t)
+	c := newController("host-1", core.Upstream{Name: "u-1"})
+	changes := watcher.Changes[core.Upstream]{
+		List: []watcher.Change[core.Upstream]{{Name: "u-1", IsRemoved: true}}, Revision: 2, Era: 1,
+	}
+	c.ApplyUpstreamChanges(1, changes)
+	is.Equal(c.upstreamCount(), 1)
+	c.ApplyUpdate(restoredLists(core.Upstream{Name: "u-1", Draining: true}), time.Now())
+	c.ApplyUpstreamChanges(1, changes)
+	is.Equal(c.upstreamCount(), 0)
+}
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -26,13 +26,15 @@
 )
 
 // ApplyUpdate applies those parts of a full or partial snapshot that are newer than the
-// host's. Parts that are nil or not newer change nothing.
+// host's. Parts that are nil or not newer change nothing. If Era is later than that of the
+// host's snapshot, the host takes the lists of that era from then on.
 func (c *Controller) ApplyUpdate(update replicator.Snapshot, now time.Time) {
 	c.replicator.ApplyUpdate(update, now)
 }
 
 // ApplyUpstreamChanges applies the changes of upstreams after the given revision. They
-// are ignored if the host's list of upstreams is older than that revision.
+// are ignored if the host's list of upstreams is older than that revision, or of another
+// era.
 func (c *Controller) ApplyUpstreamChanges(after uint64, changes watcher.Changes[core.Upstream]) {
 	latest := make(map[string]watcher.Change[core.Upstream], len(changes.List))
 	for _, change := range changes.List {
@@ -46,7 +48,7 @@
 		}
 		update.List = append(update.List, change.Object)
 	}
-	c.ApplyUpdate(replicator.Snapshot{Upstreams: update}, time.Now())
+	c.ApplyUpdate(replicator.Snapshot{Upstreams: update, Era: changes.Era}, time.Now())
 }
 
 // apply passes the changed parts of the host's snapshot on to the components that
@@ -166,7 +168,7 @@
 		return
 	}
 	for _, address := range c.snapshotSources(now) {
-		update, err := c.fetcher.Fetch(address, c.replicator.Snapshot().Revisions(), c.Bounds.fetchTimeout())
+		update, err := c.fetcher.Fetch(address, c.replicator.Held(), c.Bounds.fetchTimeout())
 		if err != nil {
 			c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 			continue
@@ -177,11 +179,10 @@
 
 // snapshotSources returns the addresses of hosts that may serve a newer snapshot.
 func (c *Controller) snapshotSources(now time.Time) []string {
-	snapshot := c.replicator.Snapshot()
-	if !snapshot.IsComplete() {
+	if !c.replicator.Snapshot().IsComplete() {
 		return *c.seeds.Load()
 	}
-	peer, ok := c.roster.PeerWithNewerCopy(snapshot.Revisions(), now)
+	peer, ok := c.roster.PeerWithNewerCopy(c.replicator.Held(), now)
 	if !ok || c.SnapshotAddress == nil {
 		return nil
 	}
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -69,6 +69,7 @@
 	ReaderFollowed  = Event{304, "reader-followed", zerolog.InfoLevel, "Another host of the zone reads the store on behalf of this host."}
 	StoreRead       = Event{305, "store-read", zerolog.InfoLevel, "The host reads the store itself again."}
 	StoreReadFailed = Event{306, "store-read-failed", zerolog.InfoLevel, "A list or a watch of objects in the store failed."}
+	StoreRestored   = Event{307, "store-restored", zerolog.InfoLevel, "The platform's store came back from an older copy of its own."}
 	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
 	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
@@ -121,7 +122,7 @@
 var Events = []Event{
 	HostStarted, HostReady, HostLeaving, HostStopped, HostStopTimeout,
 	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
-	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed,
+	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed, StoreRestored,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamAnswerRejected, RequestOutcomeUnknown,
 	RequestRetried, RequestRefused, UpstreamFailed,
