Retain for 3 s after a restore what is missing from the store

Live upstreams and the operator write again within about 2 s of the return; the copy must also read that, and pass it on to followers. 2 s, counted from when a host notices the restore, left as little as 0.1 s for it (tests with real hosts that write again after 1.9 s). The model test now writes again as late as 2 s after the return (1.6 s before).

--- a/core/replicator/expiry.go
+++ b/core/replicator/expiry.go
@@ -7,8 +7,8 @@
 	"github.com/endiverun/endiverun/core"
 )
 
-// expiryGrace is the time after an outage or a restore of the store for which a missing
-// upstream is retained. Live upstreams register again within about two seconds.
+// expiryGrace is the time after an outage of the store for which a missing upstream is
+// retained. Live upstreams register again within about two seconds.
 const expiryGrace = 2 * time.Second
 
 // minExpiredFraction is the fraction of the upstreams that must be missing for them
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -7,6 +7,11 @@
 	"github.com/endiverun/endiverun/core"
 )
 
+// restoreGrace is the time after a restore of the store for which missing upstreams and
+// evacuated zones are retained. Most of the copy may be affected, so the time includes a second
+// for reading what is written again within expiryGrace, and for passing it on to followers.
+const restoreGrace = expiryGrace + time.Second
+
 // expiryHeartbeats is the number of heartbeats after which the store removes the entry of a
 // silent upstream.
 const expiryHeartbeats = 3
@@ -31,7 +36,7 @@
 func newRestoration(copied Snapshot, removed removals, heartbeat time.Duration, now time.Time) restoration {
 	s := restoration{
 		removed:    removed.incarnations(),
-		graceUntil: now.Add(expiryGrace),
+		graceUntil: now.Add(restoreGrace),
 		settledAt:  now.Add(settleTime(heartbeat)),
 	}
 	if copied.Evacuations != nil {
@@ -49,7 +54,7 @@
 // settleTime returns the time after a restore for which the store may list upstreams in an
 // older state.
 func settleTime(heartbeat time.Duration) time.Duration {
-	return expiryHeartbeats*heartbeat + expiryGrace
+	return expiryHeartbeats*heartbeat + restoreGrace
 }
 
 // join makes a copy that was not restored keep what a settling list of another host says
--- a/core/replicator/restore_test.go
+++ b/core/replicator/restore_test.go
@@ -14,7 +14,7 @@
 const (
 	// grace and settleTime are how long after a restore of the store missing entries and
 	// outdated ones are not believed, for the default heartbeat of upstreams.
-	grace      = 2 * time.Second
+	grace      = 3 * time.Second
 	settleTime = 3*1500*time.Millisecond + grace
 )
 
--- a/core/replicator/restored_model_test.go
+++ b/core/replicator/restored_model_test.go
@@ -16,7 +16,7 @@
 const (
 	// maxRewriteTime is the time after a restore within which the operator and live upstreams
 	// write again. It leaves each host the time to read that before its grace period ends.
-	maxRewriteTime = 1600 * time.Millisecond
+	maxRewriteTime = 2 * time.Second
 	// entryExpiry is the time after a restore at which the entries of silent upstreams end.
 	entryExpiry = 3 * 1500 * time.Millisecond
 	maxStep     = 400 * time.Millisecond
@@ -24,6 +24,8 @@
 	// outageTime that without responses after which registrations may have expired.
 	maxStoreAge = 1500 * time.Millisecond
 	outageTime  = 3 * time.Second
+	// outageGrace is how long after an outage missing upstreams are retained.
+	outageGrace = 2 * time.Second
 )
 
 // drill is a fleet whose store comes back from older copies while upstreams start, drain and
@@ -296,7 +298,7 @@
 // respond records a response of the store to a host.
 func (d *drill) respond(h *drillHost) {
 	if d.now.Sub(h.lastResponse) > outageTime {
-		h.graceUntil = d.now.Add(grace)
+		h.graceUntil = d.now.Add(outageGrace)
 	}
 	h.lastResponse = d.now
 	h.RecordStoreResponse(d.now)
