Retain evacuated zones through an outage after a restore

Callers: requests to an evacuated zone (EVAC at stake) if the restored store was soon unavailable once more: the zone was dropped 2 s after the restore although the operator could not have evacuated it again.

Cause: the end of the retained zones looked only at the time of the restore, unlike that of retained upstreams. Now both end alike: not during an outage, nor in its grace period.

--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -238,7 +238,7 @@
 	}
 	if e := update.Evacuations; e != nil && (r.listed.Evacuations == nil || held.HasOlderEvacuations(offered)) {
 		r.listed.Evacuations = e
-		r.current.Evacuations = r.restoration.retainZones(e, now)
+		r.current.Evacuations = r.restoration.retainZones(e, r.mayHaveExpired(now))
 		changed.Evacuations = r.current.Evacuations
 	}
 	if h := update.Hosts; h != nil && (r.listed.Hosts == nil || h.Revision > held.Hosts) {
@@ -279,8 +279,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changed Snapshot
-	if r.current.Evacuations != r.listed.Evacuations && !r.restoration.isGrace(now) {
-		r.current.Evacuations, changed.Evacuations = r.listed.Evacuations, r.listed.Evacuations
+	if r.current.Evacuations != r.listed.Evacuations && !r.mayHaveExpired(now) {
+		r.current.Evacuations = r.restoration.retainZones(r.listed.Evacuations, false)
+		changed.Evacuations = r.current.Evacuations
 	}
 	hasExpired := len(r.retained) > 0 && !r.mayHaveExpired(now)
 	hasSettled := r.restoration.isOver(r.lastResponse)
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -15,8 +15,8 @@
 // time the older state in the store does not undo it. The zero value knows nothing.
 type restoration struct {
 	// removed holds the last incarnation of each upstream that is known to have ended: it was
-	// removed lately before the restore, was followed by a later one, or was draining at the
-	// restore and then removed.
+	// removed lately before the restore, or was draining or followed by a later one when it
+	// was removed after it.
 	removed map[core.UpstreamName]core.Incarnation
 	// zones are the evacuated zones that the store has not listed since.
 	zones []core.ZoneName
@@ -37,12 +37,6 @@
 	if copied.Evacuations != nil {
 		s.zones = slices.Clone(copied.Evacuations.Zones)
 	}
-	if copied.Upstreams == nil {
-		return s
-	}
-	for _, u := range copied.Upstreams.List {
-		s.recordEarlier(u)
-	}
 	return s
 }
 
@@ -121,21 +115,15 @@
 		if _, isListed := find(after.List, u.Name); isListed {
 			continue
 		}
-		if u.Draining {
+		switch {
+		case u.Draining:
 			s.removed[u.Name] = u.Incarnation
-		} else {
-			s.recordEarlier(u)
+		case u.Incarnation > 0:
+			s.removed[u.Name] = u.Incarnation - 1
 		}
 	}
 }
 
-// recordEarlier records that the incarnations before the upstream's have ended.
-func (s *restoration) recordEarlier(u core.Upstream) {
-	if u.Incarnation > 0 {
-		s.removed[u.Name] = u.Incarnation - 1
-	}
-}
-
 // withLaterState returns the listed upstream, draining and cold as the held one of the same
 // incarnation is.
 func withLaterState(listed, held core.Upstream) core.Upstream {
@@ -149,9 +137,12 @@
 // retainZones returns the list of the store with the evacuated zones that the operator may
 // still have to write again. A zone that the store has listed since the restore is no longer
 // retained.
-func (s *restoration) retainZones(listed *Evacuations, now time.Time) *Evacuations {
+func (s *restoration) retainZones(listed *Evacuations, mayBeMissing bool) *Evacuations {
 	s.zones = slices.DeleteFunc(s.zones, func(zone core.ZoneName) bool { return slices.Contains(listed.Zones, zone) })
-	if len(s.zones) == 0 || !s.isGrace(now) {
+	if !mayBeMissing {
+		s.zones = nil
+	}
+	if len(s.zones) == 0 {
 		return listed
 	}
 	zones := slices.Concat(listed.Zones, s.zones)
--- a/core/replicator/restore_test.go
+++ b/core/replicator/restore_test.go
@@ -329,6 +329,29 @@
 	}
 }
 
+// TestZonesRetainedDuringOutage guards against requests to an evacuated zone that the operator
+// could not evacuate again, because the restored store was soon unavailable once more. After
+// that outage the operator gets the whole grace period.
+func TestZonesRetainedDuringOutage(t *testing.T) {
+	is := is.New(t)
+	r := &replicator.Replicator{}
+	r.ApplyUpdate(evacuated(1, 50, "for-a"), start)
+	r.ApplyUpdate(evacuated(2, 40), start)
+	r.RecordStoreResponse(start)
+	r.RecordStoreFailure()
+	recovery := start.Add(4 * time.Second)
+	r.Settle(recovery)
+	is.Equal(len(r.Snapshot().Evacuations.Zones), 1)
+	r.RecordStoreResponse(recovery)
+	r.Settle(recovery.Add(grace - time.Millisecond))
+	is.Equal(len(r.Snapshot().Evacuations.Zones), 1)
+	r.Settle(recovery.Add(grace))
+	is.Equal(len(r.Snapshot().Evacuations.Zones), 0)
+	r.RecordStoreFailure()
+	r.ApplyUpdate(evacuated(2, 41), recovery.Add(10*time.Second))
+	is.Equal(len(r.Snapshot().Evacuations.Zones), 0) // not once more
+}
+
 // TestLaterEraReplaces guards against a host that ignores a restored store until its
 // revisions have passed those that it gave out before.
 func TestLaterEraReplaces(t *testing.T) {
@@ -386,15 +409,41 @@
 	is.Equal(describe(r), []string{"a/1 ready", "b/1 ready"})
 	is.Equal(r.Snapshot().Revisions().Upstreams, uint64(0)) // must be listed again
 
-	reader, held := &replicator.Replicator{}, r.Snapshot().Revisions()
-	reader.ApplyUpdate(listOf(3, 40, entry("d", 1, "ready")), start)
-	reader.ApplyUpdate(listOf(3, 60, entry("e", 1, "ready")), start)
-	held.Upstreams = 50
-	update := reader.ChangesSince(held, start)
+	reader := &replicator.Replicator{}
+	reader.ApplyUpdate(listOf(3, 50, entry("d", 1, "ready")), start)
+	update := reader.ChangesSince(core.Revisions{Era: 2, Upstreams: 50}, start)
 	is.Equal(update.Upstreams.BaseRevision, uint64(0))
 	is.Equal(update.Era, core.Era(3))
 }
 
+// TestDeltaAfterRestore guards against a delta from a revision that the reader has had in an
+// earlier era only: it would lack what changed before the reader's first list of this era.
+func TestDeltaAfterRestore(t *testing.T) {
+	is := is.New(t)
+	reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+	both := []core.Upstream{entry("a", 1, "ready"), entry("b", 1, "ready")}
+	reader.ApplyUpdate(listOf(1, 40, both...), start)
+	reader.ApplyUpdate(listOf(2, 50, both...), start)
+	follower.ApplyUpdate(listOf(2, 40, both[0]), start)
+	follower.ApplyUpdate(reader.ChangesSince(follower.Held(), start), start)
+	is.Equal(describe(follower), []string{"a/1 ready", "b/1 ready"})
+}
+
+// TestFreshFollowerReadsStore guards against requests to a draining upstream on a host that
+// started after a restore, learnt of the draining from its reader, and then reads from the
+// store that the upstream is ready.
+func TestFreshFollowerReadsStore(t *testing.T) {
+	is := is.New(t)
+	reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+	reader.ApplyUpdate(listOf(1, 50, entry("u", 1, "draining")), start)
+	reader.ApplyUpdate(listOf(2, 40, entry("u", 1, "ready")), start)
+	follower.ApplyUpdate(reader.ChangesSince(core.Revisions{}, start), start)
+	follower.ApplyUpdate(listOf(2, 41, entry("u", 1, "ready")), start.Add(time.Second))
+	is.Equal(describe(follower), []string{"u/1 draining"})
+	settle(follower, start.Add(settleTime))
+	is.Equal(describe(follower), []string{"u/1 ready"})
+}
+
 // TestOldContentsServeNewHost checks that a part that was not read since a restore is passed
 // on to a host that has none at all, so that it can serve requests, and to no other host.
 func TestOldContentsServeNewHost(t *testing.T) {
