--- a/core/replicator/restore_test.go
+++ b/core/replicator/restore_test.go
@@ -331,7 +331,7 @@
 
 // TestZonesRetainedDuringOutage guards against requests to an evacuated zone that the operator
 // could not evacuate again, because the restored store was soon unavailable once more. After
-// that outage the operator gets the whole grace period.
+// that outage the operator gets the whole grace period of an outage.
 func TestZonesRetainedDuringOutage(t *testing.T) {
 	is := is.New(t)
 	r := &replicator.Replicator{}
@@ -343,9 +343,9 @@
 	r.Settle(recovery)
 	is.Equal(len(r.Snapshot().Evacuations.Zones), 1)
 	r.RecordStoreResponse(recovery)
-	r.Settle(recovery.Add(grace - time.Millisecond))
+	r.Settle(recovery.Add(outageGrace - time.Millisecond))
 	is.Equal(len(r.Snapshot().Evacuations.Zones), 1)
-	r.Settle(recovery.Add(grace))
+	r.Settle(recovery.Add(outageGrace))
 	is.Equal(len(r.Snapshot().Evacuations.Zones), 0)
 	r.RecordStoreFailure()
 	r.ApplyUpdate(evacuated(2, 41), recovery.Add(10*time.Second))
