Report addresses in use when a run of the demo starts

A run of the demo ended once with a timeout of the same call.

Cause: the addresses of a deployment are fixed. The fake store of a second process that uses them at the same time fails to listen. That was only a note for the report, so the run went on, and waited for the store of the other process: its ticket 1 exists there, and once the other process has ended the connection is refused. A fake upstream that failed to listen did not end the run at all; the requests went to that of the other process.

Change: a failed background task ends the start of a run with its error. Tests reserve a network of loopback addresses of their own, by a listener in it, and give it back after their fakes have ended; so tests of the same process and of others don't meet.

--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -78,6 +79,8 @@
 	lifetime  context.Context //nolint:containedctx // Ends with the run.
 
 	mu sync.Mutex
+	// taskError is the error of the first background task that failed.
+	taskError error
 	// refusals holds the requests that clients know as not run.
 	refusals []refusedCall
 	// nonIdempotent holds the nonces of all requests that are not idempotent.
@@ -212,11 +215,29 @@
 	r.group.Go(func() { r.noteError(direct.Run(r.lifetime)) })
 }
 
-// noteError adds a note to the report if a background task has failed.
+// noteError adds a note to the report if a background task has failed, and keeps the first
+// error for failedTask.
 func (r *Runner) noteError(err error) {
-	if err != nil {
-		r.addNote("background task failed: " + err.Error())
+	if err == nil {
+		return
+	}
+	r.addNote("background task failed: " + err.Error())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.taskError == nil {
+		r.taskError = err
+	}
+}
+
+// failedTask returns the error of the first background task that failed, such as a fake
+// whose address is in use by another process.
+func (r *Runner) failedTask() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.taskError == nil {
+		return nil
 	}
+	return fmt.Errorf("a background task failed: %w", r.taskError)
 }
 
 // addNote adds a note to the report.
--- a/demo/runner/stop_test.go
+++ b/demo/runner/stop_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,27 +39,58 @@
 	shortTimeout = 2 * time.Second
 )
 
-// stopDeployment has two hosts in each of two availability zones.
-var stopDeployment = deployer.Deployment{
-	Name: "stop", Regions: []core.RegionName{"r"}, Hosts: 4,
-	Services: []deployer.ServiceSpec{
-		{Name: "lookup", Upstreams: 4, Slots: 20, Repeatable: true, MeanServiceTime: 600 * time.Millisecond, ResponseSize: 100},
-		{Name: "order", Upstreams: 4, Slots: 20, MeanServiceTime: 600 * time.Millisecond, ResponseSize: 100},
-	},
-	SecondOctet: 24,
+// Networks of tests. Programs of the demo and the tests of package platform use lower ones.
+const (
+	firstTestOctet = 120
+	lastTestOctet  = 254
+	// reservationPort is listened on by the test that uses a network.
+	reservationPort = 19900
+)
+
+// reserveNetwork returns the second octet of loopback addresses that no other test uses until
+// the test ends, also if it runs in another process.
+func reserveNetwork(t *testing.T) byte {
+	t.Helper()
+	for octet := byte(firstTestOctet); octet <= lastTestOctet; octet++ {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, octet, 255, 1}), reservationPort)
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return octet
+		}
+	}
+	t.Fatal("other tests use all networks")
+	return 0
 }
 
-// startDeployment starts the fakes and the hosts of stopDeployment.
-func startDeployment(t *testing.T) *Runner {
+// newRunner returns a runner of a deployment that has two hosts in each of two availability
+// zones. Its network is free again when its fakes have ended.
+func newRunner(t *testing.T) *Runner {
 	t.Helper()
-	is := is.New(t)
+	deployment := deployer.Deployment{
+		Name: "stop", Regions: []core.RegionName{"r"}, Hosts: 4,
+		Services: []deployer.ServiceSpec{
+			{Name: "lookup", Upstreams: 4, Slots: 20, Repeatable: true, MeanServiceTime: 600 * time.Millisecond, ResponseSize: 100},
+			{Name: "order", Upstreams: 4, Slots: 20, MeanServiceTime: 600 * time.Millisecond, ResponseSize: 100},
+		},
+		SecondOctet: reserveNetwork(t),
+	}
 	r := &Runner{
-		Deployment: stopDeployment, Seed: 1, Policy: "least-expected", ProgressOutput: io.Discard, LogOutput: io.Discard,
+		Deployment: deployment, Seed: 1, Policy: "least-expected", ProgressOutput: io.Discard, LogOutput: io.Discard,
 		lifetime: t.Context(), appliedTickets: map[core.HostName]core.TicketNumber{},
 		ledger: responder.NewLedger(),
 	}
+	t.Cleanup(r.group.Wait)
 	r.emulator = emulator.New(r.Deployment.ZonesByAddress(), r.Deployment.OneWayDelay)
 	r.collector = reporter.New(r.serviceNames())
+	return r
+}
+
+// startDeployment starts the fakes and the hosts of a deployment.
+func startDeployment(t *testing.T) *Runner {
+	t.Helper()
+	is := is.New(t)
+	r := newRunner(t)
 	is.NoErr(r.startFakes())
 	is.NoErr(r.startHosts())
 	is.NoErr(r.awaitReady(t.Context()))
@@ -199,6 +232,17 @@
 	t.Errorf("%s, complete at %s: ran %d times, got status %d, error %v %s", q.id, q.sentAt, executions, o.status, o.err, o.body)
 }
 
+// TestStoreAddressInUse guards against a run that ends with a timeout of its first ticket, or that
+// uses the fakes of another process, when that process uses the same addresses.
+func TestStoreAddressInUse(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t)
+	other, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", r.Deployment.PlatformAddress())
+	is.NoErr(err)
+	defer func() { _ = other.Close() }()
+	is.True(errors.Is(r.startFakes(), syscall.EADDRINUSE))
+}
+
 // TestServerStopCutsNoLateRequest guards against requests that arrive late in the stop timeout of a
 // planned stop, on connections that were opened before: the host took them and closed their
 // connections without an answer when it ended.
--- a/demo/runner/ticket.go
+++ b/demo/runner/ticket.go
@@ -23,7 +23,8 @@
 )
 
 // writeFirstTicket writes the first ticket to the platform's store, as an operator
-// does before the first hosts start. It retries until the store is up.
+// does before the first hosts start. It retries until the store is up, and returns early if
+// a background task fails.
 func (r *Runner) writeFirstTicket() error {
 	deadline := time.Now().Add(readyTimeout)
 	ticket := r.Deployment.FirstTicket()
@@ -32,6 +33,9 @@
 	defer client.Close()
 	data := map[string]any{"ticket": ticket, "nonce": "demo"}
 	for {
+		if err := r.failedTask(); err != nil {
+			return err
+		}
 		_, err := client.Create("ticket", sequencer.TicketObjectName(ticket.Number), data)
 		if err == nil || time.Now().After(deadline) {
 			return err
@@ -41,10 +45,13 @@
 }
 
 // awaitReady waits until all hosts have applied the first ticket. It returns early if
-// a host ends.
+// a host ends or a background task fails.
 func (r *Runner) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if err := r.failedTask(); err != nil {
+			return err
+		}
 		if r.isApplied(1, r.hosts) {
 			return nil
 		}
