Answer queries about attempts until a stopping host has ended

What callers saw: a request that another host had forwarded to a stopping host could end as 502, outcome-unknown, "the host that had the request is gone", although that host knew whether it had run and what the response was.

Cause: in the 0.2 s between the end of its work and the close of its connections, the messenger replied to every call as to one for an earlier incarnation. For a request that is true: it is not run. For a query it gives up knowledge that the host still has. A host asks when its call is not accepted in time, so this needs a slow machine and a call near the close.

Change: only requests are refused then; queries of this incarnation are answered from its tables. An attempt that did not arrive gets its tombstone as before, and a request that comes after that is refused. A query that would wait for a running attempt returns when the host ends, so a stop does not last longer.

--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -91,7 +91,8 @@
 	ReserveBandwidth func(to core.RegionName, n core.Bytes) bool
 	// OnRecords receives the records of a datagram.
 	OnRecords func(records []tracker.Record)
-	// Handle processes a call. It returns when the outcome is known.
+	// Handle processes a call. It returns when the outcome is known, or soon after the end of
+	// ctx for a query.
 	Handle func(ctx context.Context, call Call) Reply
 	// OnError receives the address of a peer and the error in its messages or in
 	// messages to it; nil ignores errors.
@@ -136,7 +137,7 @@
 }
 
 // Run accepts connections of other hosts until ctx ends, then closes all connections. Calls
-// that arrive in between are refused.
+// that arrive in between are refused, except queries.
 func (m *Messenger) Run(ctx context.Context) error {
 	socket, err := m.listen()
 	if err != nil {
@@ -193,8 +194,8 @@
 	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(parsed.Addr(), 0)))
 }
 
-// serveConnection receives the records and calls of one peer until open ends. It refuses
-// calls after the end of ctx.
+// serveConnection receives the records and calls of one peer until open ends. After the end
+// of ctx it answers only queries.
 func (m *Messenger) serveConnection(ctx, open context.Context, conn *quic.Conn) {
 	var group conc.WaitGroup
 	group.Go(func() { m.receiveRecords(ctx, conn) })
@@ -268,8 +269,7 @@
 
 // handleCall processes a call. It sends running frames until the reply is known.
 func (m *Messenger) handleCall(ctx context.Context, call Call, stream *quic.Stream) Reply {
-	isOther := call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation
-	if isOther || ctx.Err() != nil {
+	if m.isStale(ctx, call) {
 		return staleIncarnationReply(call)
 	}
 	done := make(chan struct{})
@@ -281,6 +281,15 @@
 	return reply
 }
 
+// isStale reports whether a call is for another incarnation of this host, or for one that ends
+// now. An ending incarnation still answers queries, since only it knows their outcomes.
+func (m *Messenger) isStale(ctx context.Context, call Call) bool {
+	if call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation {
+		return true
+	}
+	return ctx.Err() != nil && call.Kind != CallQueryAttempt
+}
+
 // staleIncarnationReply returns the reply to a call for an incarnation of this host that
 // has ended, or ends now. A request that arrives now was not run. The outcome of an attempt that was
 // forwarded to the earlier incarnation is unknown.
--- a/entry/server/request.go
+++ b/entry/server/request.go
@@ -273,12 +273,12 @@
 }
 
 // handleCall handles a call from another host and returns the reply.
-func (s *Server) handleCall(_ context.Context, call messenger.Call) messenger.Reply {
+func (s *Server) handleCall(ctx context.Context, call messenger.Call) messenger.Reply {
 	switch call.Kind {
 	case messenger.CallForward, messenger.CallForwardHome:
 		return s.handleRequest(call)
 	case messenger.CallQueryAttempt:
-		return s.handleQuery(call)
+		return s.handleQuery(ctx, call)
 	case messenger.CallFetchTickets:
 		return s.handleTickets(call)
 	default:
@@ -309,12 +309,12 @@
 }
 
 // handleQuery returns the outcome of an attempt. It waits for an attempt that is still
-// running.
-func (s *Server) handleQuery(call messenger.Call) messenger.Reply {
+// running, until the end of ctx.
+func (s *Server) handleQuery(ctx context.Context, call messenger.Call) messenger.Reply {
 	now := s.now()
 	result := s.steerer.Dispatcher.QueryAttempt(call.Attempt, now)
 	if result.Done != nil {
-		waitForSignal(context.Background(), result.Done, call.RemainingTime-responseMargin)
+		waitForSignal(ctx, result.Done, call.RemainingTime-responseMargin)
 		result = s.steerer.Dispatcher.QueryAttempt(call.Attempt, s.now())
 	}
 	return newReply(result.Outcome)
