Tell peers which calls a host did not handle before it ended

What callers saw: a request that did not run ended as 502, outcome-unknown, "the host that had the request gave no answer", when another host had forwarded it to a stopping host in the moment of its end.

Cause: a call is in no count until it has been read. One that was on its way when the connection was closed, or whose refusal QUIC had not sent, looked to the caller like one that was handled; its queries then found no host.

Change: a host that ends closes its connections with a code of its own and the stream id from which on no call was handled. A stream is recorded before the last check whether the host ends, so a call that is not covered was never handled. The caller then knows that the request did not run, and refuses it if it is the first with its key. The transport is closed after all connections were, so that the code is sent. Older hosts read it as any other close. What remains: if that packet is lost, or the caller had given the call up as not accepted in time, the outcome stays unknown to the caller. 502 promises nothing.

Evidence: TestStopTellsWhichCallsWereHandled/not_read fails without the change to call.go; the messenger's tests pass three times with the race detector.

--- a/entry/messenger/call.go
+++ b/entry/messenger/call.go
@@ -27,7 +27,7 @@
 
 // CallError is the error of a failed call.
 type CallError struct {
-	// MayHaveArrived says that the call may have reached the other host.
+	// MayHaveArrived says that the other host may have handled the call.
 	MayHaveArrived bool
 	Err            error
 }
@@ -59,12 +59,12 @@
 	reserve := func(n core.Bytes) bool { return m.reserveBandwidth(to.Zone.Region, n) }
 	if sent, err := writeMessage(stream, nil, call, limiter.ChunkSize, reserve); err != nil {
 		stream.CancelWrite(0)
-		return Reply{}, &CallError{MayHaveArrived: sent, Err: err}
+		return Reply{}, &CallError{MayHaveArrived: sent && !isUnhandled(err, stream.StreamID()), Err: err}
 	}
 	_ = stream.Close()
 	reply, err := m.awaitReply(to, c, stream, deadline)
 	if err != nil {
-		return Reply{}, &CallError{MayHaveArrived: true, Err: err}
+		return Reply{}, &CallError{MayHaveArrived: !isUnhandled(err, stream.StreamID()), Err: err}
 	}
 	return reply, nil
 }
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -71,6 +71,9 @@
 const (
 	codeClosed       quic.ApplicationErrorCode = 0
 	codeUnresponsive quic.ApplicationErrorCode = 1
+	// codeStopped is sent by a host that ends. The reason is a stream id: calls on that stream and
+	// on later ones were not handled.
+	codeStopped quic.ApplicationErrorCode = 2
 )
 
 // Messenger exchanges messages between this host and others.
@@ -163,9 +166,10 @@
 	}
 	m.closeAll()
 	_ = listener.Close()
+	// Each connection tells its peer why it is closed, before its socket is closed.
+	group.Wait()
 	_ = transport.Close()
 	_ = socket.Close()
-	group.Wait()
 	return nil
 }
 
@@ -199,14 +203,15 @@
 func (m *Messenger) serveConnection(ctx, open context.Context, conn *quic.Conn) {
 	var group conc.WaitGroup
 	group.Go(func() { m.receiveRecords(ctx, conn) })
+	var handled handledStreams
 	for {
 		stream, err := conn.AcceptStream(open)
 		if err != nil {
 			break
 		}
-		group.Go(func() { m.serveCall(ctx, conn, stream) })
+		group.Go(func() { m.serveCall(ctx, conn, stream, &handled) })
 	}
-	_ = conn.CloseWithError(codeClosed, "")
+	_ = conn.CloseWithError(codeStopped, handled.reason())
 	group.Wait()
 }
 
@@ -239,7 +244,7 @@
 }
 
 // serveCall reads a call from a stream and writes its reply.
-func (m *Messenger) serveCall(ctx context.Context, conn *quic.Conn, stream *quic.Stream) {
+func (m *Messenger) serveCall(ctx context.Context, conn *quic.Conn, stream *quic.Stream, handled *handledStreams) {
 	defer stream.CancelRead(0)
 	_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
 	data, err := readMessage(bufio.NewReader(stream), m.MaxBody+maxMessageOverhead)
@@ -253,6 +258,9 @@
 		stream.CancelWrite(0)
 		return
 	}
+	if ctx.Err() == nil {
+		handled.add(stream.StreamID())
+	}
 	m.inFlight.Add(1)
 	defer m.inFlight.Add(-1)
 	if _, err := stream.Write([]byte{byte(frameAccepted)}); err != nil {
--- a/entry/messenger/stop_test.go
+++ b/entry/messenger/stop_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"math/big"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,59 @@
 	is.NoErr(err)
 	is.Equal(len(reply.Response.Body), len(body))
 }
+
+// cutCall sends a request until it has started to arrive, and returns the error with which it ends.
+func cutCall(t *testing.T, from, to *messenger.Messenger, hasStarted func() bool) *messenger.CallError {
+	t.Helper()
+	call := messenger.Call{
+		Kind: messenger.CallForwardHome, From: from.Self, ToIncarnation: to.Self.Incarnation, Attempt: "from.1.2",
+		Request: &messenger.Request{ID: "r", Service: "order", Method: "POST", Path: "/", Body: make([]byte, 8*core.Kibibyte)},
+	}
+	for {
+		_, err := from.Call(to.Self, call, time.Now().Add(time.Minute))
+		var callError *messenger.CallError
+		if !errors.As(err, &callError) {
+			t.Fatalf("the call was not cut: %v", err)
+		}
+		if hasStarted() {
+			return callError
+		}
+	}
+}
+
+// TestStopTellsWhichCallsWereHandled guards against a request that did not run and whose client is
+// told that its outcome is unknown, since the host that ended had not read it.
+func TestStopTellsWhichCallsWereHandled(t *testing.T) {
+	t.Run("not read", func(t *testing.T) {
+		is := is.New(t)
+		from, to := newPair(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		done := make(chan error, 1)
+		go func() { done <- to.Run(ctx) }()
+		hasStarted := false
+		from.ReserveBandwidth = func(core.RegionName, core.Bytes) bool {
+			hasStarted = true
+			stop()
+			is.NoErr(<-done)
+			return true
+		}
+		is.True(!cutCall(t, from, to, func() bool { return hasStarted }).MayHaveArrived)
+	})
+	t.Run("handled", func(t *testing.T) {
+		is := is.New(t)
+		from, to := newPair(t)
+		release := make(chan struct{})
+		var isHandled atomic.Bool
+		stop := func() {}
+		to.Handle = func(context.Context, messenger.Call) messenger.Reply {
+			isHandled.Store(true)
+			stop()
+			<-release
+			return messenger.Reply{RunState: core.NotRun}
+		}
+		stop = start(t, to)
+		t.Cleanup(func() { close(release) })
+		is.True(cutCall(t, from, to, isHandled.Load).MayHaveArrived)
+	})
+}
