--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -71,6 +71,9 @@
 const (
 	codeClosed       quic.ApplicationErrorCode = 0
 	codeUnresponsive quic.ApplicationErrorCode = 1
+	// codeStopped is sent by a host that ends. The reason is a stream id: calls on that stream and
+	// on later ones were not handled.
+	codeStopped quic.ApplicationErrorCode = 2
 )
 
 // Messenger exchanges messages between this host and others.
@@ -91,7 +94,8 @@
 	ReserveBandwidth func(to core.RegionName, n core.Bytes) bool
 	// OnRecords receives the records of a datagram.
 	OnRecords func(records []tracker.Record)
-	// Handle processes a call. It returns when the outcome is known.
+	// Handle processes a call. It returns when the outcome is known, or soon after the end of
+	// ctx for a query.
 	Handle func(ctx context.Context, call Call) Reply
 	// OnError receives the address of a peer and the error in its messages or in
 	// messages to it; nil ignores errors.
@@ -136,7 +140,7 @@
 }
 
 // Run accepts connections of other hosts until ctx ends, then closes all connections. Calls
-// that arrive in between are refused.
+// that arrive in between are refused, except queries.
 func (m *Messenger) Run(ctx context.Context) error {
 	socket, err := m.listen()
 	if err != nil {
@@ -162,9 +166,10 @@
 	}
 	m.closeAll()
 	_ = listener.Close()
+	// Each connection tells its peer why it is closed, before its socket is closed.
+	group.Wait()
 	_ = transport.Close()
 	_ = socket.Close()
-	group.Wait()
 	return nil
 }
 
@@ -193,19 +198,20 @@
 	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(parsed.Addr(), 0)))
 }
 
-// serveConnection receives the records and calls of one peer until open ends. It refuses
-// calls after the end of ctx.
+// serveConnection receives the records and calls of one peer until open ends. After the end
+// of ctx it answers only queries.
 func (m *Messenger) serveConnection(ctx, open context.Context, conn *quic.Conn) {
 	var group conc.WaitGroup
 	group.Go(func() { m.receiveRecords(ctx, conn) })
+	var handled handledStreams
 	for {
 		stream, err := conn.AcceptStream(open)
 		if err != nil {
 			break
 		}
-		group.Go(func() { m.serveCall(ctx, conn, stream) })
+		group.Go(func() { m.serveCall(ctx, conn, stream, &handled) })
 	}
-	_ = conn.CloseWithError(codeClosed, "")
+	_ = conn.CloseWithError(codeStopped, handled.reason())
 	group.Wait()
 }
 
@@ -238,7 +244,7 @@
 }
 
 // serveCall reads a call from a stream and writes its reply.
-func (m *Messenger) serveCall(ctx context.Context, conn *quic.Conn, stream *quic.Stream) {
+func (m *Messenger) serveCall(ctx context.Context, conn *quic.Conn, stream *quic.Stream, handled *handledStreams) {
 	defer stream.CancelRead(0)
 	_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
 	data, err := readMessage(bufio.NewReader(stream), m.MaxBody+maxMessageOverhead)
@@ -252,6 +258,9 @@
 		stream.CancelWrite(0)
 		return
 	}
+	if ctx.Err() == nil {
+		handled.add(stream.StreamID())
+	}
 	m.inFlight.Add(1)
 	defer m.inFlight.Add(-1)
 	if _, err := stream.Write([]byte{byte(frameAccepted)}); err != nil {
@@ -268,8 +277,7 @@
 
 // handleCall processes a call. It sends running frames until the reply is known.
 func (m *Messenger) handleCall(ctx context.Context, call Call, stream *quic.Stream) Reply {
-	isOther := call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation
-	if isOther || ctx.Err() != nil {
+	if m.isStale(ctx, call) {
 		return staleIncarnationReply(call)
 	}
 	done := make(chan struct{})
@@ -281,6 +289,15 @@
 	return reply
 }
 
+// isStale reports whether a call is for another incarnation of this host, or for one that ends
+// now. An ending incarnation still answers queries, since only it knows their outcomes.
+func (m *Messenger) isStale(ctx context.Context, call Call) bool {
+	if call.ToIncarnation != 0 && call.ToIncarnation != m.Self.Incarnation {
+		return true
+	}
+	return ctx.Err() != nil && call.Kind != CallQueryAttempt
+}
+
 // staleIncarnationReply returns the reply to a call for an incarnation of this host that
 // has ended, or ends now. A request that arrives now was not run. The outcome of an attempt that was
 // forwarded to the earlier incarnation is unknown.
