A host that was paused restarts the silence of the others

Trace: host-7 of region-1-2 is paused at 2 s for 18 s, its zone is cut off from 2.5 s on for 37 s, and at 20 s, before it does anything, it is paused again for 20 s: one pause of 38 s. Its last check of the store was before the cut, so its roster still counts as not partitioned. At 32.5 s the model asks the roster of the paused host for its share; it evicts all others, silent for more than 30 s, and the share is 1.

The model was wrong in one point: a paused process computes no share. The fault behind it is real. When the host resumes, the first call (HeartbeatTargets of the heartbeater, which runs beside divideSharedLimits, or SetRegistrations) evicts every host before SetPartitioned states the cut; hosts that were evicted come back only with a heartbeat, that is after the cut. Measured in the model with 30 hosts, three in the zone, and a pause of 30.5 s: the sum is 1.40 (1.176 allowed) for all the rest of the cut, 240 of 240 periods of 0.5 s. All limits that are divided by SharingHosts are concerned: retry allowance, requests to cold upstreams, connections, rate limits that upstreams name.

Change: each check for silent hosts records its time. After more than 2.5 s without one (the heartbeater and divideSharedLimits check every 500 and 250 ms) the host was paused and treats the others as after a partition: their 30 s start again. A host that has been evicted before stays so. The price is that a dead host keeps its share for up to 30 s more after a pause of the observer.

Model: a paused host counts with the share that it computed last, and computes again when it resumes, after it sent heartbeats; pauses now last up to 40 s in place of 20, so that the property draws the real fault. The bound is unchanged. TestSilentHostsShareLimits asked at 0, 10 and 60 s only, which is now a paused host; it asks every second, requires exactly 30 s, and has the paused host as a second case (fails before: evicted at once).

--- a/core/roster/model_test.go
+++ b/core/roster/model_test.go
@@ -22,12 +22,19 @@
 	partitioned core.ZoneName
 }
 
-// modelHost is one host of the model. It neither sends, receives nor reads before
-// pausedUntil.
+// modelHost is one host of the model. It neither sends, receives, reads nor computes
+// before pausedUntil.
 type modelHost struct {
 	roster      *roster.Roster
 	isAlive     bool
 	pausedUntil time.Time
+	// share is the share of a shared limit that the host computed last.
+	share float64
+}
+
+// divide computes the host's share of a shared limit.
+func (h *modelHost) divide(now time.Time) {
+	h.share = 1 / float64(len(h.roster.SharingHosts(now)))
 }
 
 // modelPeriod is the time between two heartbeats.
@@ -42,6 +49,7 @@
 		m.start(len(m.hosts)-1, h)
 	}
 	m.readStore()
+	m.divide()
 	return m
 }
 
@@ -51,6 +59,16 @@
 	m.hosts[i].isAlive = true
 	m.registered[h.Name] = h
 	m.read(m.hosts[i])
+	m.hosts[i].divide(m.now)
+}
+
+// divide lets all running hosts compute their shares.
+func (m *fleetModel) divide() {
+	for _, h := range m.hosts {
+		if m.isRunning(h) {
+			h.divide(m.now)
+		}
+	}
 }
 
 // isPartitioned reports whether the host is in the partitioned zone.
@@ -107,12 +125,14 @@
 }
 
 // totalShare returns the sum of the shares of a shared limit that all hosts use that
-// are alive. Paused hosts count, since they go on with their share later.
+// are alive. Paused hosts count with the share that they computed last, since they go on
+// with it later.
 func (m *fleetModel) totalShare() float64 {
+	m.divide()
 	sum := 0.0
 	for _, h := range m.hosts {
 		if h.isAlive {
-			sum += 1 / float64(len(h.roster.SharingHosts(m.now)))
+			sum += h.share
 		}
 	}
 	return sum
@@ -125,7 +145,7 @@
 // TestSharesOfLargeFleet guards against a fleet that exceeds a shared limit because
 // its hosts disagree on how many share it. Zones are partitioned, hosts are killed
 // and started, and one host at a time is paused: the shares that all hosts use must
-// stay within the limit's reserve, however long a zone is cut off.
+// stay within the limit's reserve, however long a zone is cut off or a host is paused.
 func TestSharesOfLargeFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFleetModel(rapid.SampledFrom([]int{30, 60}).Draw(t, "hosts"), 3)
@@ -144,7 +164,7 @@
 				}
 			case 1:
 				if !m.now.Before(pausedUntil) {
-					pausedUntil = m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+					pausedUntil = m.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
 					m.hosts[pick()].pausedUntil = pausedUntil
 				}
 			case 2:
@@ -188,3 +208,26 @@
 		})
 	}
 }
+
+// TestPausedInCutZone guards against a host that was paused for longer than the time of
+// eviction while its zone was cut off, and then uses the shares of all hosts that it did
+// not hear meanwhile.
+func TestPausedInCutZone(t *testing.T) {
+	const evictAfter = 30 * time.Second
+	for _, pause := range []time.Duration{evictAfter - modelPeriod, evictAfter + modelPeriod, 2 * evictAfter} {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			m := newFleetModel(30, 3)
+			paused := m.hosts[7]
+			paused.pausedUntil = m.now.Add(pause)
+			m.partitioned = paused.roster.Self.Zone.Name
+			for period := range 300 {
+				m.now = m.now.Add(modelPeriod)
+				m.sendHeartbeats(period)
+				m.readStore()
+				if sum := m.totalShare(); sum > maxTotalShare {
+					t.Fatalf("%v after the pause began, the shares sum up to %.2f", m.now.Sub(start), sum)
+				}
+			}
+		})
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -12,7 +12,8 @@
 //   - A host that has been silent for at least 30 seconds is evicted: it no longer
 //     counts as possibly alive. Limits that all hosts share are divided over every host
 //     that may be alive, so a host that has merely stopped sending heartbeats still
-//     counts for that time.
+//     counts for that time. The time for which this host itself was paused or cut off
+//     does not count as silence of the others.
 //   - A registration has expired when its host has been silent for twice that time. A
 //     live host then removes it from the store.
 //
@@ -50,6 +51,10 @@
 	// minEvictAfter is the least time for which a silent host still counts for
 	// shared limits.
 	minEvictAfter = 30 * time.Second
+	// maxCheckInterval is the time between two checks for silent hosts above which this
+	// host counts as paused in between. It is the time after which the others no longer
+	// count it as live.
+	maxCheckInterval = maxMissedHeartbeats * heartbeatPeriod
 	// minZoneHosts is the number of ready hosts from which a zone serves its clients
 	// without the other zones of its region: one host may fail.
 	minZoneHosts = 2
@@ -95,7 +100,9 @@
 	mu            sync.Mutex
 	isReady       bool
 	isPartitioned bool
-	members       map[core.HostName]*member
+	// checkedAt is the time of the last check for silent hosts.
+	checkedAt time.Time
+	members   map[core.HostName]*member
 	// registrations are the hosts that the store lists.
 	registrations map[core.HostName]registration
 	// resolveCache holds results of Resolve until a host joins, leaves or changes.
@@ -144,13 +151,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isPartitioned && !isPartitioned {
-		for _, m := range r.members {
-			m.lastSeen = now
-		}
+		r.restartSilence(now)
 	}
 	r.isPartitioned = isPartitioned
 }
 
+// restartSilence counts the time towards the eviction of every host from now. The caller
+// holds Roster.mu.
+func (r *Roster) restartSilence(now time.Time) {
+	for _, m := range r.members {
+		m.lastSeen = now
+	}
+}
+
 // SetReady states whether this host takes requests.
 func (r *Roster) SetReady(ready bool) {
 	r.mu.Lock()
@@ -165,6 +178,7 @@
 func (r *Roster) SetRegistrations(hosts []core.Host, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.detectPause(now)
 	next := make(map[core.HostName]registration, len(hosts))
 	for _, h := range hosts {
 		if h.Name == r.Self.Name {
@@ -242,6 +256,7 @@
 // hosts that it cannot hear may be alive and still use their shares of the limits.
 // The caller holds Roster.mu.
 func (r *Roster) evictSilent(now time.Time) {
+	r.detectPause(now)
 	if r.isPartitioned {
 		return
 	}
@@ -253,6 +268,16 @@
 	}
 }
 
+// detectPause restarts the silence of all hosts after this host was paused: it heard none
+// of them meanwhile, and does not know yet whether it is cut off. The caller holds
+// Roster.mu.
+func (r *Roster) detectPause(now time.Time) {
+	if now.Sub(r.checkedAt) > maxCheckInterval {
+		r.restartSilence(now)
+	}
+	r.checkedAt = now
+}
+
 // Peers returns every other host that may be alive, sorted by name. HeartbeatTargets
 // selects from these hosts.
 func (r *Roster) Peers(now time.Time) []core.Host {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -107,14 +107,33 @@
 	is.Equal(r.Resolve(query("for-b", "for"), start.Add(4*time.Second)), []string{"new", "self"})
 }
 
-// TestSilentHostsShareLimits checks that a silent host, which may still be alive,
-// counts for shared limits at first, and no longer after a while.
+// TestSilentHostsShareLimits checks that a silent host, which may still be alive, counts
+// for shared limits for 30 s in which this host runs, and no longer after that.
 func TestSilentHostsShareLimits(t *testing.T) {
-	is := is.New(t)
-	r := newRoster()
-	r.RecordHeartbeat(roster.Heartbeat{Host: host("silent", "nat-a", "nat", 1), Ready: true}, start)
-	is.Equal(names(r.SharingHosts(start.Add(10*time.Second))), []core.HostName{"self", "silent"})
-	is.Equal(names(r.SharingHosts(start.Add(time.Minute))), []core.HostName{"self"})
+	tests := []struct {
+		name string
+		// pause is how long this host itself is paused after 10 s.
+		pause time.Duration
+		// want is how long the silent host counts.
+		want time.Duration
+	}{
+		{"not paused", 0, 30 * time.Second},
+		{"paused", 50 * time.Second, (10 + 50 + 30) * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRoster()
+			r.RecordHeartbeat(roster.Heartbeat{Host: host("silent", "nat-a", "nat", 1), Ready: true}, start)
+			for elapsed := time.Duration(0); elapsed <= tt.want; elapsed += time.Second {
+				if elapsed > 10*time.Second && elapsed < 10*time.Second+tt.pause {
+					continue
+				}
+				is.Equal(names(r.SharingHosts(start.Add(elapsed))), []core.HostName{"self", "silent"})
+			}
+			is.Equal(names(r.SharingHosts(start.Add(tt.want+time.Second))), []core.HostName{"self"})
+		})
+	}
 }
 
 // TestNewer checks that the live host with the newest copy of the store is returned,
