A host that was paused removes no registrations of live hosts

After a pause, or a cut, of more than 60 s of the observing host, every registered host counted as expired, none was live, and so each registration was assigned to this host for removal, until the first heartbeats were received.

The comments said twice the time of eviction, which holds only for a host without heartbeats; they now say what is done. Whether 60 s was meant for all is open.

TestExpiryAfterPause fails before (1 host named, 0 wanted).

--- a/core/roster/registration_test.go
+++ b/core/roster/registration_test.go
@@ -42,3 +42,23 @@
 	second.SetRegistrations([]core.Host{self, crashed, alive}, now)
 	is.Equal(len(first.ExpiredHosts(now))+len(second.ExpiredHosts(now)), 0)
 }
+
+// TestExpiryAfterPause guards against a host that was paused for longer than the time of
+// expiry and then removes the registrations of live hosts, which it did not hear meanwhile.
+func TestExpiryAfterPause(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	alive := host("alive", "for-a", "for", 1)
+	registered := []core.Host{host("self", "for-b", "for", 1), alive}
+	r.SetRegistrations(registered, start)
+	r.RecordHeartbeat(roster.Heartbeat{Host: alive, Ready: true}, start)
+	resumed := start.Add(2 * time.Minute)
+	is.Equal(len(r.ExpiredHosts(resumed)), 0)
+	r.SetRegistrations(registered, resumed)
+	is.Equal(len(r.ExpiredHosts(resumed)), 0)
+	// A host that stays silent expires all the same.
+	for elapsed := time.Duration(0); elapsed <= time.Minute; elapsed += time.Second {
+		r.SetRegistrations(registered, resumed.Add(elapsed))
+	}
+	is.Equal(r.ExpiredHosts(resumed.Add(time.Minute)), []core.Host{alive})
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,8 +14,8 @@
 //     that may be alive, so a host that has merely stopped sending heartbeats still
 //     counts for that time. The time for which this host itself was paused or cut off
 //     does not count as silence of the others.
-//   - A registration has expired when its host has been silent for twice that time. A
-//     live host then removes it from the store.
+//   - A registration has expired when its host is evicted and the registration has been
+//     known for twice that time. A live host then removes it from the store.
 //
 // In a large fleet, of more than 24 hosts, only one host of a zone reads the store: the
 // zone's reader. The other hosts of the zone get the contents from it. The rank of a
