A restored store: retain only what it may lack, and do not forget it through other hosts

A host forgot an evacuation that the restored store lacked as soon as it had taken another host's list: the zone stands in that list because the other host retains it, and was taken for listed by the store. The next list of the store then ended the evacuation, until the operator wrote it again. Lists that retain something no longer count as the store's.

An upstream that the restored store had listed, and then removed, was retained for up to 3 s, longer than a leaving upstream may get requests. Only what the store has not listed since the restore is retained.

A host that was paused or cut off over a restore and long after it retained every upstream that had left meanwhile, and as the reader of its zone gave them to its followers. If the store was silent for longer than the settle time, only the rule for outages applies.

TestZoneRetainedByAnotherHost, TestListedThenRemoved and TestLateHostRevivesNothing fail without the change.

--- a/core/replicator/expiry.go
+++ b/core/replicator/expiry.go
@@ -36,6 +36,9 @@
 	if r.isStoreOut(now) {
 		r.graceUntil = now.Add(expiryGrace)
 	}
+	if r.isSilentFor(settleTime(r.heartbeat()), now) {
+		r.returnedAt = now
+	}
 	r.lastResponse, r.hasFailed = now, false
 }
 
@@ -49,6 +52,12 @@
 	return silence > missedHeartbeats*r.heartbeat() && (r.hasFailed || silence > maxQuietTime)
 }
 
+// isSilentFor reports whether the store has not responded for more than the given time. The
+// caller holds Replicator.mu.
+func (r *Replicator) isSilentFor(limit time.Duration, now time.Time) bool {
+	return !r.lastResponse.IsZero() && now.Sub(r.lastResponse) > limit
+}
+
 // heartbeat returns the time between two heartbeats of an upstream.
 func (r *Replicator) heartbeat() time.Duration {
 	if r.UpstreamHeartbeatInterval <= 0 {
@@ -93,15 +102,16 @@
 	if r.current.Upstreams == nil || !r.mayHaveExpired(now) {
 		return nil
 	}
+	isAfterOutage := now.Before(r.graceUntil) || r.isStoreOut(now)
 	var missing []core.Upstream
 	for _, u := range r.current.Upstreams.List {
 		if _, isListed := find(update.List, u.Name); !isListed && !u.Draining {
 			missing = append(missing, u)
 		}
 	}
-	isFew := float64(len(missing)) < minExpiredFraction*float64(len(r.current.Upstreams.List))
-	if isFew && !r.restoration.isGrace(now) {
-		return nil
+	isMany := float64(len(missing)) >= minExpiredFraction*float64(len(r.current.Upstreams.List))
+	if isMany && isAfterOutage {
+		return missing
 	}
-	return missing
+	return slices.DeleteFunc(missing, func(u core.Upstream) bool { return !r.restoration.isMissed(u, now) })
 }
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -155,6 +155,8 @@
 	// hasFailed says that a call to the store has failed since lastResponse.
 	hasFailed  bool
 	graceUntil time.Time
+	// returnedAt is when the store last responded after a silence longer than the settle time.
+	returnedAt time.Time
 }
 
 // Snapshot returns the current copy.
@@ -208,6 +210,8 @@
 	hasContents := u != nil || e != nil || h != nil
 	if hasContents {
 		r.restoration = newRestoration(r.current, r.removals, r.heartbeat(), now)
+		limit := settleTime(r.heartbeat())
+		r.restoration.isLate = r.isSilentFor(limit, now) || !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < limit
 	}
 	if u != nil {
 		r.current.Upstreams = &Upstreams{List: u.List}
@@ -250,7 +254,9 @@
 // caller holds Replicator.mu.
 func (r *Replicator) refreshUpstreams(changed *Snapshot, now time.Time) {
 	before := r.current.Upstreams
-	next := r.retainMissing(r.restoration.correct(r.listed.Upstreams, before), now)
+	corrected := r.restoration.correct(r.listed.Upstreams, before)
+	r.restoration.recordListed(corrected, now)
+	next := r.retainMissing(corrected, now)
 	if next == before {
 		return
 	}
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -25,6 +25,12 @@
 	removed map[core.UpstreamName]core.Incarnation
 	// zones are the evacuated zones that the store has not listed since.
 	zones []core.ZoneName
+	// listed are the upstreams that the store has listed since, while missing ones are
+	// retained.
+	listed map[core.UpstreamName]bool
+	// isLate says that the host noticed the restore after a long time without the store, so
+	// that the upstreams that it misses have probably left.
+	isLate bool
 	// graceUntil is the time until which the operator and live upstreams write again.
 	graceUntil time.Time
 	// settledAt is the time from which the entry of every upstream that has ended is gone.
@@ -64,6 +70,26 @@
 	return now.Before(s.graceUntil)
 }
 
+// recordListed records which upstreams the store has listed since the restore, by a list
+// without outdated entries. The lists of other hosts that retain upstreams do not tell.
+func (s *restoration) recordListed(corrected *Upstreams, now time.Time) {
+	if !s.isGrace(now) || corrected.MayIncludeExpired {
+		return
+	}
+	if s.listed == nil {
+		s.listed = make(map[core.UpstreamName]bool, len(corrected.List))
+	}
+	for _, u := range corrected.List {
+		s.listed[u.Name] = true
+	}
+}
+
+// isMissed reports whether an upstream that the store does not list may be missing because of
+// the restore: the store has not listed it since.
+func (s *restoration) isMissed(u core.Upstream, now time.Time) bool {
+	return s.isGrace(now) && !s.isLate && !s.listed[u.Name]
+}
+
 // isSettling reports whether the lists of the store are still corrected.
 func (s *restoration) isSettling() bool {
 	return !s.settledAt.IsZero()
@@ -139,11 +165,13 @@
 	return listed
 }
 
-// retainZones returns the list of the store with the evacuated zones that the operator may
-// still have to write again. A zone that the store has listed since the restore is no longer
-// retained.
+// retainZones returns the given list with the evacuated zones that the operator may still have
+// to write again. A zone that the store has listed since the restore is no longer retained; in
+// the settling list of another host it may stand only because that host retains it.
 func (s *restoration) retainZones(listed *Evacuations, mayBeMissing bool) *Evacuations {
-	s.zones = slices.DeleteFunc(s.zones, func(zone core.ZoneName) bool { return slices.Contains(listed.Zones, zone) })
+	if !listed.IsSettling {
+		s.zones = slices.DeleteFunc(s.zones, func(zone core.ZoneName) bool { return slices.Contains(listed.Zones, zone) })
+	}
 	if !mayBeMissing {
 		s.zones = nil
 	}
@@ -152,5 +180,5 @@
 	}
 	zones := slices.Concat(listed.Zones, s.zones)
 	slices.Sort(zones)
-	return &Evacuations{Revision: listed.Revision, Zones: zones, IsSettling: true}
+	return &Evacuations{Revision: listed.Revision, Zones: slices.Compact(zones), IsSettling: true}
 }
--- a/core/replicator/restore_test.go
+++ b/core/replicator/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -530,3 +531,56 @@
 	is.Equal(describe(follower), describe(reader))
 	is.Equal(len(follower.Snapshot().Evacuations.Zones), 0)
 }
+
+// TestZoneRetainedByAnotherHost guards against requests to an evacuated zone that the restored
+// store lacks: a host takes the list of another one, which retains the zone, before its own.
+func TestZoneRetainedByAnotherHost(t *testing.T) {
+	for _, revision := range []uint64{40, 41} {
+		is := is.New(t)
+		reader, follower := &replicator.Replicator{}, &replicator.Replicator{}
+		for _, r := range []*replicator.Replicator{reader, follower} {
+			r.ApplyUpdate(evacuated(1, 50, "for-a"), start)
+		}
+		now := start.Add(time.Second)
+		reader.ApplyUpdate(evacuated(2, 40), now)
+		follower.ApplyUpdate(reader.ChangesSince(follower.Held(), now), now)
+		follower.ApplyUpdate(evacuated(2, revision), now.Add(300*time.Millisecond))
+		is.Equal(follower.Snapshot().Evacuations.Zones, []core.ZoneName{"for-a"})
+		follower.ApplyUpdate(evacuated(2, 42, "for-a"), now.Add(400*time.Millisecond))
+		follower.ApplyUpdate(evacuated(2, 43), now.Add(500*time.Millisecond))
+		is.Equal(len(follower.Snapshot().Evacuations.Zones), 0) // the store listed it and then did not
+	}
+}
+
+// TestListedThenRemoved guards against requests to an upstream that left soon after a restore:
+// the store had listed it since, so that its entry was not lost by the restore.
+func TestListedThenRemoved(t *testing.T) {
+	is := is.New(t)
+	r := &replicator.Replicator{}
+	r.ApplyUpdate(listOf(1, 50, entry("a", 1, "ready"), entry("b", 1, "ready"), entry("c", 1, "ready")), start)
+	r.ApplyUpdate(listOf(2, 40, entry("a", 1, "ready"), entry("b", 1, "ready")), start)
+	r.ApplyUpdate(listOf(2, 41, entry("a", 1, "ready")), start.Add(100*time.Millisecond))
+	is.Equal(describe(r), []string{"a/1 ready", "c/1 ready"})
+}
+
+// TestLateHostRevivesNothing guards against a host that was paused or cut off over a restore,
+// and long after it: it retained upstreams that had left, and gave them to its followers.
+func TestLateHostRevivesNothing(t *testing.T) {
+	var live []core.Upstream
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		live = append(live, entry(name, 1, "ready"))
+	}
+	for _, isProbedFirst := range []bool{false, true} {
+		is := is.New(t)
+		r := &replicator.Replicator{}
+		r.ApplyUpdate(listOf(1, 50, append(slices.Clone(live), entry("x", 1, "ready"))...), start)
+		r.RecordStoreResponse(start)
+		now := start.Add(30 * time.Second)
+		if isProbedFirst {
+			r.RecordStoreResponse(now)
+			now = now.Add(time.Second)
+		}
+		r.ApplyUpdate(listOf(2, 60, live...), now)
+		is.Equal(len(describe(r)), len(live))
+	}
+}
