--- a/core/error.go
+++ b/core/error.go
@@ -21,7 +21,8 @@
 	// the clients of the store, which are not part of this package.
 	ErrHistoryGone = ErrorNamespace.NewType("history-gone")
 	// ErrEarlierEra reports that a response of the store is of an earlier era than another
-	// one, so that it must not be used. The store does respond.
+	// one, or names an era that no other response confirms, so that it must not be used. The
+	// store does respond.
 	ErrEarlierEra = ErrorNamespace.NewType("earlier-era")
 	// ErrPeer reports that another host gave no response or sent invalid data.
 	ErrPeer = ErrorNamespace.NewType("peer")
--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -53,7 +53,8 @@
 
 // Do makes a call, whose address is that of the client, and decodes its response into
 // target, unless target is nil. It returns the era of the response. For the errors see
-// StoreCall.Do; a usable response of an era before the latest yields core.ErrEarlierEra.
+// StoreCall.Do; a usable response of an era before the latest, or of one that is not
+// confirmed, yields core.ErrEarlierEra.
 func (c *StoreClient) Do(call StoreCall, target any) (core.Era, error) {
 	if c.OnCall != nil {
 		c.OnCall(call.Operation)
@@ -65,7 +66,10 @@
 	call.Address, call.header = c.Address, c.EraHeader
 	sent := c.Eras.Latest()
 	value, err := call.send(client, call.Wait+StoreTimeout, target)
-	era := c.Eras.recordHeader(value, sent)
+	era, isConfirmed := c.Eras.recordHeader(value, sent)
+	if !isConfirmed && !core.IsPlatform(err) {
+		return era, core.ErrEarlierEra.New("%s %s: no other response confirms era %d", call.Method, call.Path, era)
+	}
 	if latest := c.Eras.Latest(); era < latest && !core.IsPlatform(err) {
 		return era, core.ErrEarlierEra.New("%s %s: response of era %d after one of era %d", call.Method, call.Path, era, latest)
 	}
--- a/entry/caller/era.go
+++ b/entry/caller/era.go
@@ -13,12 +13,14 @@
 	// OnRise is called when a later era follows a known one; it may be nil. The call is
 	// made in the goroutine that found the era, so it must not wait.
 	OnRise func(era core.Era)
-	// OnInvalid is called for an answer whose era cannot be read, but only once for
-	// successive answers with the same value; it may be nil.
+	// OnInvalid is called for an answer whose era cannot be read or is not confirmed, but only
+	// once for successive answers with the same value; it may be nil.
 	OnInvalid func(value string)
 
 	mu     sync.Mutex
 	latest core.Era
+	// unconfirmed is a later era than the next one that a single answer has named so far.
+	unconfirmed core.Era
 	// invalid is the value last passed to OnInvalid.
 	invalid string
 }
@@ -43,18 +45,40 @@
 }
 
 // recordHeader records the era that the header of an answer names, and returns it. An answer
-// that names none counts as one of the era that was the latest when its call was sent.
-func (t *EraTracker) recordHeader(value string, sent core.Era) core.Era {
+// that names none counts as one of the era that was the latest when its call was sent. It
+// returns false if the era is not confirmed, so that the answer must not be used.
+func (t *EraTracker) recordHeader(value string, sent core.Era) (core.Era, bool) {
 	if value == "" {
-		return sent
+		return sent, true
 	}
 	era, ok := parseEra(value)
 	if !ok {
 		t.reportInvalid(value)
-		return sent
+		return sent, true
+	}
+	if !t.confirm(era) {
+		t.reportInvalid(value)
+		return era, false
 	}
 	t.Record(era)
-	return era
+	return era, true
+}
+
+// confirm reports whether an era may be taken for the store's. Eras rise by one, so a larger
+// step must be named by two answers: a single wrong one would make the host discard all that
+// follow.
+func (t *EraTracker) confirm(era core.Era) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest == 0 || era <= t.latest+1 {
+		t.unconfirmed = 0
+		return true
+	}
+	if era == t.unconfirmed {
+		return true
+	}
+	t.unconfirmed = era
+	return false
 }
 
 // parseEra parses an era in a header. The store may count from 0, which core.Era has for
