--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -70,7 +70,7 @@
 	StoreRead       = Event{305, "store-read", zerolog.InfoLevel, "The host reads the store itself again."}
 	StoreReadFailed = Event{306, "store-read-failed", zerolog.InfoLevel, "A list or a watch of objects in the store failed."}
 	StoreRestored   = Event{307, "store-restored", zerolog.WarnLevel, "The platform's store came back from an older copy, in a later era."}
-	EraUnreadable   = Event{308, "era-unreadable", zerolog.WarnLevel, "An answer of the store names an era that is invalid or not confirmed by another answer."}
+	EraUnreadable   = Event{308, "era-unreadable", zerolog.WarnLevel, "An answer of the store names an era that is invalid or not confirmed."}
 	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
 	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
