Keep serving when descriptors run out

What callers saw: a host without a free file descriptor ended by itself, with all requests in flight ("too many open files", shown by a review).

Cause: the HTTP server takes EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED of accept for permanent errors. Serve returns, and the controller's Run returns without draining.

Change: entry/acceptor wraps the listener of all three. Each failure is event 110, accept-failed; the pauses and the logger's rate limit bound the lines.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -194,6 +194,7 @@
 		OnAttempt:       c.countAttempt,
 		OnRetry:         c.recordRetry,
 		OnFailure:       c.recordFailure,
+		OnAcceptError:   c.recordAcceptError,
 	}
 	c.seeds.Store(&c.Seeds)
 	c.gracePeriod.Store(int64(c.Bounds.GracePeriod))
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -126,6 +126,11 @@
 		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Duration).Send()
 }
 
+// recordAcceptError logs that no connection could be accepted from a client.
+func (c *Controller) recordAcceptError(err error) {
+	c.Log.Event(logger.AcceptFailed).Err(err).Send()
+}
+
 // addLimit adds the rate limit of the last upstream of a request to a line, if it has one:
 // the limit, its age, the host that told of it, and the interval of this host's share.
 func addLimit(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/retrier"
+	"github.com/endiverun/endiverun/entry/acceptor"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
 	"github.com/endiverun/endiverun/entry/tracer"
@@ -122,6 +123,9 @@
 	OnAttempt  func(Event)
 	OnRetry    func(Event)
 	OnFailure  func(Event)
+	// OnAcceptError is called when a connection could not be accepted, after which the
+	// forwarder tries again; it may be nil.
+	OnAcceptError func(error)
 
 	policy    atomic.Pointer[core.RoutingPolicy]
 	splitter  splitter
@@ -174,8 +178,9 @@
 		ErrorHandler:                  rejectMalformed,
 		Logger:                        discardLogger{},
 	}
+	accepting := detector.Listener{Listener: acceptor.Listener{Listener: listener, OnRetry: f.OnAcceptError}}
 	failed := make(chan error, 1)
-	go func() { failed <- f.server.Serve(detector.Listener{Listener: listener}) }()
+	go func() { failed <- f.server.Serve(accepting) }()
 	select {
 	case err := <-failed:
 		return err
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -123,6 +123,16 @@
 }
 
 func newHost(t *testing.T, route core.Route, upstreams ...*fakeUpstream) *testHost {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newHostAt(t, listener, route, upstreams...)
+}
+
+// newHostAt returns a host that serves clients of the listener.
+func newHostAt(t *testing.T, listener net.Listener, route core.Route, upstreams ...*fakeUpstream) *testHost {
 	t.Helper()
 	var list []core.Upstream
 	for i, u := range upstreams {
@@ -158,10 +168,6 @@
 		route.Hostname, route.WeightedServices = "desk.example", []core.WeightedService{{Service: "desk", Weight: 1}}
 		h.SetPolicy(core.NewRoutingPolicy(3, []core.Route{route}, nil, core.ClientLimits{BodyBytes: core.Mebibyte}))
 	}
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	h.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopWithin = func(timeout time.Duration) {
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -8,7 +8,7 @@
 //	}
 //	err := l.Run(ctx, func() time.Time { return stopEnd })
 //
-// All function fields except Listen must be set before Run. Paths:
+// All function fields except Listen and OnAcceptError must be set before Run. Paths:
 //
 //	GET  /v1/route?service=S[&zone=Z]   entry hosts that a client should use
 //	ANY  /s/{service}/{path}            request to a service
@@ -30,6 +30,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/acceptor"
 	"github.com/endiverun/endiverun/entry/detector"
 )
 
@@ -56,6 +57,9 @@
 	OperatorToken string
 	// Listen opens the socket; nil means TCP.
 	Listen func(address string) (net.Listener, error)
+	// OnAcceptError is called when a connection could not be accepted, after which the
+	// listener tries again; it may be nil.
+	OnAcceptError func(err error)
 
 	// Serve processes a client's request. Its context ends when the client disconnects.
 	Serve func(ctx context.Context, request core.Request) core.Outcome
@@ -94,9 +98,10 @@
 		return err
 	}
 	l.app = l.build()
+	accepting := detector.Listener{Listener: acceptor.Listener{Listener: socket, OnRetry: l.OnAcceptError}}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- l.app.Listener(detector.Listener{Listener: socket}, fiber.ListenConfig{DisableStartupMessage: true})
+		failed <- l.app.Listener(accepting, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	select {
 	case err := <-failed:
--- a/entry/listener/listener_test.go
+++ b/entry/listener/listener_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,10 +29,19 @@
 // arrived.
 func startDrainingListener(t *testing.T, isDraining *atomic.Bool) string {
 	t.Helper()
-	is := is.New(t)
 	var config net.ListenConfig
 	socket, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startListenerAt(t, socket, isDraining)
+}
+
+// startListenerAt starts a listener that drains when a request to the service "drain" has
+// arrived. It accepts connections from the socket.
+func startListenerAt(t *testing.T, socket net.Listener, isDraining *atomic.Bool) string {
+	t.Helper()
+	is := is.New(t)
 	l := &listener.Listener{
 		MaxBody: 64 * core.Kibibyte, MaxConnections: 100, OperatorToken: "secret",
 		Listen: func(string) (net.Listener, error) { return socket, nil },
@@ -73,6 +84,30 @@
 	return line
 }
 
+// exhaustedListener is a listener whose first call of Accept finds no descriptor left.
+type exhaustedListener struct {
+	net.Listener
+	calls atomic.Int32
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.calls.Add(1) == 1 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServesAfterDescriptorsRanOut guards against a host that ends, with all requests in
+// flight, when it has no file descriptor for one more connection.
+func TestServesAfterDescriptorsRanOut(t *testing.T) {
+	is := is.New(t)
+	var config net.ListenConfig
+	socket, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := startListenerAt(t, &exhaustedListener{Listener: socket}, &atomic.Bool{})
+	is.Equal(exchange(t, address, "GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"), "HTTP/1.1 200 OK")
+}
+
 // TestInvalidInputIsRejected guards against accepting invalid or oversized requests and
 // wrong operator tokens, and against a listener that stops serving after them.
 func TestInvalidInputIsRejected(t *testing.T) {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -117,6 +117,7 @@
 	ListenFailed       = Event{106, "listen-failed", zerolog.ErrorLevel, "The host cannot listen on one of its addresses."}
 	LinesLeftOut       = Event{108, "lines-left-out", zerolog.WarnLevel, "An event exceeded its rate limit; lines left out are counted."}
 	HostRemoved        = Event{109, "host-removed", zerolog.InfoLevel, "The registration of an expired host was removed from the store."}
+	AcceptFailed       = Event{110, "accept-failed", zerolog.WarnLevel, "A connection could not be accepted; the host tries again."}
 	RegistrationFailed = Event{107, "registration-failed", zerolog.WarnLevel, "The host's registration could not be stored or removed."}
 )
 
@@ -133,7 +134,7 @@
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
 	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
-	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved,
+	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
 
 // Logger writes the events of one host.
--- a/entry/publisher/publisher.go
+++ b/entry/publisher/publisher.go
@@ -16,6 +16,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/endiverun/endiverun/entry/acceptor"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/meter"
 )
@@ -30,13 +31,19 @@
 // Publisher serves HTTP endpoints and logs the addresses on which it cannot listen.
 type Publisher struct {
 	Log *logger.Logger
+	// Listen opens the socket; nil means the function Listen.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Serve serves endpoints on an IP address and port until ctx ends. The function routes
 // adds them to the application. Serve returns after logging an error if it cannot listen
 // on the address.
 func (p *Publisher) Serve(ctx context.Context, address string, routes func(*fiber.App)) {
-	listener, err := Listen(address)
+	listen := p.Listen
+	if listen == nil {
+		listen = Listen
+	}
+	listener, err := listen(address)
 	if err != nil {
 		p.Log.Event(logger.ListenFailed).Str("address", address).Err(err).Send()
 		return
@@ -48,7 +55,10 @@
 	})
 	routes(app)
 	context.AfterFunc(ctx, func() { _ = app.Shutdown() })
-	err = app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	accepting := acceptor.Listener{Listener: listener, OnRetry: func(err error) {
+		p.Log.Event(logger.AcceptFailed).Str("address", address).Err(err).Send()
+	}}
+	err = app.Listener(accepting, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil && ctx.Err() == nil {
 		p.Log.Event(logger.ListenFailed).Str("address", address).Err(err).Send()
 	}
--- a/entry/publisher/publisher_test.go
+++ b/entry/publisher/publisher_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,6 +57,44 @@
 	<-done
 }
 
+// exhaustedListener is a listener whose first call of Accept finds no descriptor left.
+type exhaustedListener struct {
+	net.Listener
+	calls atomic.Int32
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.calls.Add(1) == 1 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServesAfterDescriptorsRanOut guards against endpoints such as readiness that are gone
+// for good once the host had no file descriptor for one more connection.
+func TestServesAfterDescriptorsRanOut(t *testing.T) {
+	is := is.New(t)
+	var text strings.Builder
+	p := &publisher.Publisher{
+		Log: logger.New(&text, "warn", core.Host{}),
+		Listen: func(address string) (net.Listener, error) {
+			inner, err := publisher.Listen(address)
+			return &exhaustedListener{Listener: inner}, err
+		},
+	}
+	address := freeAddress(t)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Serve(ctx, address, publisher.MetricsRoutes(meter.New()))
+	}()
+	get(t, "http://"+address+"/metrics")
+	stop()
+	<-done
+	is.True(strings.Contains(text.String(), `"accept-failed"`))
+}
+
 // get returns the body of a URL. It retries until the server listens, for at most
 // 10 seconds.
 func get(t *testing.T, url string) string {
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -205,6 +205,7 @@
 		MaxConnections:    s.Settings.Limits.MaxConnections,
 		OperatorToken:     s.Settings.OperatorToken,
 		Listen:            s.Network.ListenClients,
+		OnAcceptError:     func(err error) { s.log.Event(logger.AcceptFailed).Err(err).Send() },
 		Serve:             s.serve,
 		NewRequest:        s.newRequest,
 		Route:             s.route,
