Count request bodies before they are read

Cause: readBody reserved the stated length and counted a body only once all of it was in memory. Bodies on their way counted nowhere.

Change: entry/budgeter counts bytes before they are read: a stated length at once, a body in chunks piece by piece, until the response has been written. The exchanger's budget of responses is the same type. A body without room gets 503 (bodies-full) with Retry-After before it is read; detector.Conn.LingerOnClose discards the rest, since a reset would lose the refusal. Bodies up to 256 KiB may exceed the quarter of the memory by a sixteenth. Bodies are kept in pieces that are allocated as they arrive. A body that is cut short is never passed on, and one that has not arrived at the client's deadline gets 408. Gauge request_body_bytes.

Failed try: a test that sends only the header: the server calls the handler after the first byte of a body. Not done: streaming to the upstream (a retry needs the body).

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -53,8 +53,8 @@
 	unackedTimeout = 700 * time.Millisecond
 	// requestBodiesDivisor, responseDivisor and responsesDivisor divide the memory
 	// into the limits of all request bodies, of one buffered response and of all
-	// buffered responses. A growing buffer takes up to three times the memory of its
-	// content.
+	// buffered responses. The growing buffer of a response takes up to three times the
+	// memory of its content; request bodies are kept in pieces.
 	requestBodiesDivisor = 4
 	responseDivisor      = 16
 	responsesDivisor     = 6
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -15,6 +15,7 @@
 // registerGauges registers the gauges of the host.
 func (c *Controller) registerGauges() {
 	gauges := map[string]func() float64{
+		"request_body_bytes": func() float64 { return float64(c.forwarder.BodyBytes()) },
 		"in_flight":          func() float64 { return float64(c.forwarder.InFlight()) },
 		"reads_store":        func() float64 { return boolToFloat(c.currentReadMode() == ReadAll) },
 		"is_ready":           func() float64 { return boolToFloat(c.IsServing()) },
--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -21,6 +21,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -54,6 +55,8 @@
 	buffered []byte
 	// afterResponse is the callback of AfterResponse; nil if none is to be called.
 	afterResponse atomic.Pointer[func()]
+	// linger is the time limit of LingerOnClose, a time.Duration; 0 if it was not called.
+	linger atomic.Int64
 
 	mu        sync.Mutex
 	isWatched bool
@@ -75,12 +78,32 @@
 	}
 }
 
+// LingerOnClose makes Close wait until the client has closed its end, at most for the given
+// time, and discard what it still sends. Without it, a client that sends a request body that
+// is not read may lose the response, since closing a socket with unread bytes resets the
+// connection.
+func (c *Conn) LingerOnClose(timeout time.Duration) {
+	c.linger.Store(int64(timeout))
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.replaceAfterResponse(nil)
+	if timeout := time.Duration(c.linger.Swap(0)); timeout > 0 {
+		c.discardUntilClosed(timeout)
+	}
 	return c.Conn.Close()
 }
 
+// discardUntilClosed tells the client that no more follows, and reads until it closes its end.
+func (c *Conn) discardUntilClosed(timeout time.Duration) {
+	conn, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || conn.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // It ends with the client's end or the deadline.
+}
+
 // Read returns the buffered bytes if there are any, and else reads from the
 // connection.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/entry/detector/detector_test.go
+++ b/entry/detector/detector_test.go
@@ -1,6 +1,7 @@
 package detector_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -63,6 +64,19 @@
 	is.Equal(string(buffer[:n]), "next")
 }
 
+// TestLingeringCloseEnds guards against connections that stay open because clients do not
+// close their end, and against a client that is not told that no more follows.
+func TestLingeringCloseEnds(t *testing.T) {
+	is := is.New(t)
+	client, conn := connect(t)
+	conn.LingerOnClose(50 * time.Millisecond)
+	_, err := client.Write([]byte("unread"))
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	_, err = client.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // TestUnwatchReportsNothing guards against the deadline that ends the background
 // read being taken for a client that disconnected.
 func TestUnwatchReportsNothing(t *testing.T) {
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
+	"github.com/endiverun/endiverun/entry/budgeter"
 	"github.com/endiverun/endiverun/entry/caller"
 )
 
@@ -80,7 +81,7 @@
 	Upstream core.Upstream
 	// Header is the client's request header. It is not modified.
 	Header *fasthttp.RequestHeader
-	Body   []byte
+	Body   Body
 	// RequestID is empty if the client sent none.
 	RequestID string
 	// UpstreamDeadline is when the upstream should stop working on the request. It is sent
@@ -149,7 +150,7 @@
 	MaxConnections func(service core.ServiceName) int
 
 	pool     pool
-	buffered byteBudget
+	buffered budgeter.Budget
 	// idleTimeouts holds the idle timeout from the latest response of each service's
 	// upstreams. New connections start with it.
 	idleTimeouts lockedMap[core.ServiceName, time.Duration]
--- a/entry/exchanger/exchanger_test.go
+++ b/entry/exchanger/exchanger_test.go
@@ -87,7 +87,7 @@
 	head.Set("Connection", "close")
 	now := time.Now()
 	return exchanger.Attempt{
-		Upstream: upstream, Header: head, Body: []byte(body), RequestID: "id-1",
+		Upstream: upstream, Header: head, Body: exchanger.Body{[]byte(body)}, RequestID: "id-1",
 		UpstreamDeadline: now.Add(2 * time.Second), ResponseDeadline: now.Add(3 * time.Second),
 		RoundTrip: dialTime,
 	}
--- a/entry/exchanger/pool.go
+++ b/entry/exchanger/pool.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/budgeter"
 	"github.com/endiverun/endiverun/entry/caller"
 )
 
@@ -54,12 +55,12 @@
 
 // acquireReader prepares the connection for an exchange. The bytes that are read
 // count in the budget.
-func (c *connection) acquireReader(budget *byteBudget, limit core.Bytes) {
+func (c *connection) acquireReader(budget *budgeter.Budget, limit core.Bytes) {
 	reader, ok := readerPool.Get().(*bufio.Reader)
 	if !ok {
 		reader = bufio.NewReaderSize(nil, readBufferSize)
 	}
-	c.metered = &meteredReader{Conn: c.Conn, budget: budget, limit: limit}
+	c.metered = &meteredReader{Conn: c.Conn, claim: budget.NewClaim(), limit: limit}
 	reader.Reset(c.metered)
 	c.reader = reader
 }
--- a/entry/exchanger/send.go
+++ b/entry/exchanger/send.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"strconv"
@@ -28,7 +29,7 @@
 	if attempt.Traceparent != "" {
 		header.Set(caller.HeaderTraceparent, attempt.Traceparent)
 	}
-	header.SetContentLength(len(attempt.Body))
+	header.SetContentLength(attempt.Body.Len())
 	return request
 }
 
@@ -39,6 +40,18 @@
 	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 }
 
+// Body is a request body in consecutive pieces.
+type Body [][]byte
+
+// Len returns the number of bytes.
+func (b Body) Len() int {
+	length := 0
+	for _, piece := range b {
+		length += len(piece)
+	}
+	return length
+}
+
 // requestWrite is the writing of a request, which may run in a goroutine.
 type requestWrite struct {
 	done chan struct{}
@@ -68,13 +81,13 @@
 
 // startWrite writes the request. A body of more than maxSyncWrite bytes is
 // written in a goroutine.
-func startWrite(conn *connection, request *fasthttp.Request, body []byte) *requestWrite {
+func startWrite(conn *connection, request *fasthttp.Request, body Body) *requestWrite {
 	w := &requestWrite{done: make(chan struct{})}
 	write := func() {
 		defer close(w.done)
 		w.result = writeRequest(conn, request, body)
 	}
-	if len(body) > maxSyncWrite {
+	if body.Len() > maxSyncWrite {
 		go write()
 	} else {
 		write()
@@ -82,15 +95,16 @@
 	return w
 }
 
-func writeRequest(conn *connection, request *fasthttp.Request, body []byte) writeResult {
+func writeRequest(conn *connection, request *fasthttp.Request, body Body) writeResult {
 	head := request.Header.Header()
-	if len(body) > 0 && (request.Header.IsGet() || request.Header.IsHead()) {
+	length := body.Len()
+	if length > 0 && (request.Header.IsGet() || request.Header.IsHead()) {
 		// fasthttp omits Content-Length for GET and HEAD, which rarely have a body.
-		head = fmt.Appendf(head[:len(head)-len("\r\n")], "Content-Length: %d\r\n\r\n", len(body))
+		head = fmt.Appendf(head[:len(head)-len("\r\n")], "Content-Length: %d\r\n\r\n", length)
 	}
-	buffers := net.Buffers{head, body}
-	if len(body) <= maxSyncWrite {
-		buffers = net.Buffers{append(head, body...)}
+	buffers := append(net.Buffers{head}, body...)
+	if length <= maxSyncWrite {
+		buffers = net.Buffers{bytes.Join(buffers, nil)}
 	}
 	n, err := buffers.WriteTo(conn.Conn)
 	return writeResult{n: n, err: err}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -32,6 +32,7 @@
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/retrier"
 	"github.com/endiverun/endiverun/entry/acceptor"
+	"github.com/endiverun/endiverun/entry/budgeter"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
 	"github.com/endiverun/endiverun/entry/tracer"
@@ -103,8 +104,10 @@
 	RetryBudget *retrier.Budget
 	Exchanger   *exchanger.Exchanger
 	// MaxBodyBytes limits the total bytes of all request bodies in memory; 0 means
-	// no limit. A request whose body exceeds the total is rejected with 503. The limit of
-	// one body is part of the routing policy.
+	// no limit. Small bodies may exceed it by a sixteenth, so that they pass beside large
+	// ones. A request whose body exceeds the total is rejected with 503 before the body is
+	// read, or before a further part of it is if its length is not stated. The limit of one
+	// body is part of the routing policy.
 	MaxBodyBytes core.Bytes
 	// IsReady reports whether the host has all the state that it needs to serve;
 	// if nil, the host is ready as soon as it has a policy.
@@ -127,12 +130,12 @@
 	// forwarder tries again; it may be nil.
 	OnAcceptError func(error)
 
-	policy    atomic.Pointer[core.RoutingPolicy]
-	splitter  splitter
-	held      heldRequests
-	returns   returnSchedule
-	pending   pendingRequests
-	bodyBytes atomic.Int64
+	policy   atomic.Pointer[core.RoutingPolicy]
+	splitter splitter
+	held     heldRequests
+	returns  returnSchedule
+	pending  pendingRequests
+	bodies   budgeter.Budget
 	// drain is nil until StartDraining is called.
 	drain  atomic.Pointer[core.DrainSchedule]
 	server *fasthttp.Server
@@ -149,6 +152,11 @@
 	return int64(f.pending.count())
 }
 
+// BodyBytes returns the bytes of all request bodies that are in memory or on their way.
+func (f *Forwarder) BodyBytes() core.Bytes {
+	return f.bodies.Used()
+}
+
 // Pending returns the requests that have been read and whose response has not been written, in
 // no order.
 func (f *Forwarder) Pending() []Pending {
@@ -245,13 +253,12 @@
 		f.respondUnavailable(ctx, event, "route-unreadable", invalidRouteRetryAfter)
 		return
 	}
-	body, status := f.readBody(ctx, policy.Limits.BodyBytes)
-	if status != 0 {
-		ctx.SetStatusCode(status)
-		ctx.SetConnectionClose()
+	request.claim = f.bodies.NewClaim()
+	body, err := f.readBody(ctx, policy.Limits.BodyBytes, &request.claim, f.clientDeadline(ctx, now))
+	if err != nil {
+		f.rejectBody(ctx, Event{RequestID: f.requestID(ctx), Route: route.Name, PolicyVersion: policy.Version, Detail: err.Error()}, err)
 		return
 	}
-	defer f.bodyBytes.Add(-int64(len(body)))
 	f.serve(f.newRequestState(ctx, policy, route, body, request))
 }
 
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -44,6 +45,8 @@
 	// disconnects counts connections that the host closed before the response
 	// was due.
 	disconnects atomic.Int32
+	// body is the body of the last request.
+	body atomic.Pointer[[]byte]
 }
 
 func (u *fakeUpstream) start(t *testing.T, name string) core.Upstream {
@@ -75,6 +78,8 @@
 		if request.Read(r) != nil {
 			return
 		}
+		body := bytes.Clone(request.Body())
+		u.body.Store(&body)
 		u.requests.Add(1)
 		if u.awaitDisconnect(conn) {
 			return
--- a/entry/forwarder/inflight.go
+++ b/entry/forwarder/inflight.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/budgeter"
 	"github.com/endiverun/endiverun/entry/detector"
 )
 
@@ -29,6 +30,8 @@
 type pendingRequest struct {
 	mu          sync.Mutex
 	description Pending
+	// claim counts the body of the request. Only the goroutine of its connection uses it.
+	claim budgeter.Claim
 }
 
 // update changes the description.
@@ -70,7 +73,10 @@
 // removeAfterResponse removes a request once its response has been written.
 func (p *pendingRequests) removeAfterResponse(ctx *fasthttp.RequestCtx, request *pendingRequest) {
 	request.update(func(description *Pending) { description.IsAnswered = true })
-	remove := func() { p.remove(request) }
+	remove := func() {
+		request.claim.Release()
+		p.remove(request)
+	}
 	if conn, ok := ctx.Conn().(*detector.Conn); ok {
 		conn.AfterResponse(remove)
 		return
--- a/entry/forwarder/request.go
+++ b/entry/forwarder/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"strings"
 	"time"
 
@@ -15,9 +14,6 @@
 // the longest one that a client may state.
 const maxClientTimeout = 30 * time.Second
 
-// defaultMaxBodySize limits a request body if the policy states no limit.
-const defaultMaxBodySize = 16 * core.Mebibyte
-
 // responseMargin is reserved for sending the response back to the client.
 const responseMargin = 10 * time.Millisecond
 
@@ -40,35 +36,6 @@
 	return string(uri)
 }
 
-// readBody reads the whole request body. It returns the status code of the
-// response if the request is rejected, and 0 otherwise.
-func (f *Forwarder) readBody(ctx *fasthttp.RequestCtx, limit core.Bytes) ([]byte, int) {
-	length := ctx.Request.Header.ContentLength()
-	stream := ctx.RequestBodyStream()
-	if stream == nil || length == 0 {
-		return nil, 0
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodySize
-	}
-	if length > int(limit) {
-		return nil, fasthttp.StatusRequestEntityTooLarge
-	}
-	buffer := bytes.NewBuffer(make([]byte, 0, max(length, 0)))
-	limited := io.LimitReader(stream, int64(limit)+1)
-	if _, err := buffer.ReadFrom(limited); err != nil {
-		return nil, fasthttp.StatusBadRequest
-	}
-	if buffer.Len() > int(limit) {
-		return nil, fasthttp.StatusRequestEntityTooLarge
-	}
-	if total := f.bodyBytes.Add(int64(buffer.Len())); f.MaxBodyBytes > 0 && total > int64(f.MaxBodyBytes) {
-		f.bodyBytes.Add(-int64(buffer.Len()))
-		return nil, fasthttp.StatusServiceUnavailable
-	}
-	return buffer.Bytes(), 0
-}
-
 // clientDeadline returns when the client stops waiting for a response.
 func (f *Forwarder) clientDeadline(ctx *fasthttp.RequestCtx, now time.Time) time.Time {
 	timeout, ok := core.ParseMilliseconds(string(ctx.Request.Header.Peek(f.HeaderNames.Deadline)), maxClientTimeout)
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -37,7 +37,7 @@
 	requestCtx *fasthttp.RequestCtx
 	route      *core.Route
 	service    core.ServiceName
-	body       []byte
+	body       exchanger.Body
 	event      Event
 	pending    *pendingRequest
 	// affinityKey is the client's affinity key, or the request ID if there is none.
@@ -88,7 +88,7 @@
 
 // newRequestState returns the state of a request whose body has been read.
 func (f *Forwarder) newRequestState(
-	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body []byte, pending *pendingRequest,
+	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body exchanger.Body, pending *pendingRequest,
 ) *requestState {
 	now := pending.describe().Started
 	r := &requestState{
