--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -15,6 +15,7 @@
 // registerGauges registers the gauges of the host.
 func (c *Controller) registerGauges() {
 	gauges := map[string]func() float64{
+		"request_body_bytes": func() float64 { return float64(c.forwarder.BodyBytes()) },
 		"in_flight":          func() float64 { return float64(c.forwarder.InFlight()) },
 		"reads_store":        func() float64 { return boolToFloat(c.currentReadMode() == ReadAll) },
 		"is_ready":           func() float64 { return boolToFloat(c.IsServing()) },
@@ -126,6 +127,11 @@
 		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Duration).Send()
 }
 
+// recordAcceptError logs that no connection could be accepted from a client.
+func (c *Controller) recordAcceptError(err error) {
+	c.Log.Event(logger.AcceptFailed).Err(err).Send()
+}
+
 // addLimit adds the rate limit of the last upstream of a request to a line, if it has one:
 // the limit, its age, the host that told of it, and the interval of this host's share.
 func addLimit(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -44,6 +45,8 @@
 	// disconnects counts connections that the host closed before the response
 	// was due.
 	disconnects atomic.Int32
+	// body is the body of the last request.
+	body atomic.Pointer[[]byte]
 }
 
 func (u *fakeUpstream) start(t *testing.T, name string) core.Upstream {
@@ -75,6 +78,8 @@
 		if request.Read(r) != nil {
 			return
 		}
+		body := bytes.Clone(request.Body())
+		u.body.Store(&body)
 		u.requests.Add(1)
 		if u.awaitDisconnect(conn) {
 			return
@@ -123,6 +128,16 @@
 }
 
 func newHost(t *testing.T, route core.Route, upstreams ...*fakeUpstream) *testHost {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newHostAt(t, listener, route, upstreams...)
+}
+
+// newHostAt returns a host that serves clients of the listener.
+func newHostAt(t *testing.T, listener net.Listener, route core.Route, upstreams ...*fakeUpstream) *testHost {
 	t.Helper()
 	var list []core.Upstream
 	for i, u := range upstreams {
@@ -158,10 +173,6 @@
 		route.Hostname, route.WeightedServices = "desk.example", []core.WeightedService{{Service: "desk", Weight: 1}}
 		h.SetPolicy(core.NewRoutingPolicy(3, []core.Route{route}, nil, core.ClientLimits{BodyBytes: core.Mebibyte}))
 	}
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	h.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopWithin = func(timeout time.Duration) {
