--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -25,6 +25,13 @@
 // upstream that has ended or drains stays so until its entry would have expired; an entry
 // that the store lists even then belongs to a live upstream.
 //
+// How a copy may differ from the lists of the store:
+//
+//	after       for                             difference
+//	an outage   expiryGrace                     many missing upstreams are retained
+//	a restore   restoreGrace                    missing upstreams and zones are retained
+//	a restore   3 heartbeats and restoreGrace   upstreams stay removed, draining or cold
+//
 // # Usage
 //
 //	r := &replicator.Replicator{OnChange: apply}
@@ -145,15 +152,19 @@
 	// listed is the copy as the store or another host gave it. current differs from it in
 	// what the host retains or corrects; parts that do not differ are the same pointers.
 	listed, current Snapshot
-	changes         changeLog
-	removals        removals
-	restoration     restoration
+	// changes is what deltas for other hosts are made of.
+	changes changeLog
+	// removals are the upstreams that were removed lately, in case the store is restored, and
+	// restoration is what was known when it was.
+	removals    removals
+	restoration restoration
 	// retained are the upstreams of the copy that are missing from the store, but may
 	// only have expired.
 	retained     []core.Upstream
 	lastResponse time.Time
 	// hasFailed says that a call to the store has failed since lastResponse.
-	hasFailed  bool
+	hasFailed bool
+	// graceUntil is the end of the grace period after an outage.
 	graceUntil time.Time
 	// returnedAt is when the store last responded after a silence longer than the settle time.
 	returnedAt time.Time
