--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -244,8 +244,8 @@
 	sim.lastFaultAt = sim.now
 }
 
-// stopTime is longer than the timeout of every request, so a stopping host refuses none.
-const stopTime = time.Hour
+// stopTime is longer than any history, so a stopping host refuses no request.
+const stopTime = 1000 * time.Hour
 
 // actLeave starts the graceful stop of a host.
 func (sim *simulation) actLeave(t *rapid.T) {
