--- a/operator/asker/asker.go
+++ b/operator/asker/asker.go
@@ -36,6 +36,9 @@
 // call to it failed.
 var ErrUnreachable = errors.New("host did not respond")
 
+// ErrNoHosts reports that a call needs the address of a host and has none.
+var ErrNoHosts = errors.New("no hosts given: set --hosts or ENDIVERUN_HOSTS")
+
 // APIClient calls the operators' API of entry hosts.
 type APIClient struct {
 	// Hosts holds the client addresses of entry hosts in the order in which they are
@@ -196,8 +199,12 @@
 }
 
 // callFirst calls the hosts in order until one responds, even with an error, and
-// decodes the response into target. It returns the errors of all hosts if none does.
+// decodes the response into target. It returns the errors of all hosts if none does, and
+// ErrNoHosts if there is none to call.
 func (a *APIClient) callFirst(method, path string, body []byte, target any) error {
+	if len(a.Hosts) == 0 {
+		return ErrNoHosts
+	}
 	var failures []error
 	for _, host := range a.Hosts {
 		err := a.call(host, method, path, body, target)
--- a/operator/main.go
+++ b/operator/main.go
@@ -48,9 +48,6 @@
 // is not cut off.
 var errNotInForce = errors.New("the ticket is accepted, but not yet in force on all hosts that are not cut off")
 
-// errNoHosts reports that the command needs the address of a host and got none.
-var errNoHosts = errors.New("no hosts given: set --hosts or ENDIVERUN_HOSTS")
-
 // globalFlags holds the flags that every command accepts.
 type globalFlags struct {
 	Hosts   []string      `help:"Client addresses of entry hosts, tried in order." env:"ENDIVERUN_HOSTS"`
@@ -157,7 +154,7 @@
 // Run writes the status of all given hosts. It fails only if no host returns a status.
 func (*statusCommand) Run(g *globalFlags) error {
 	if len(g.Hosts) == 0 {
-		return errNoHosts
+		return asker.ErrNoHosts
 	}
 	hostAsker := g.newAsker()
 	var statuses []asker.Status
