The status of a host names the client addresses of the others

Cause: the command line decodes client-address of each member, but a host's status never sent it.

Change: the status has the field.

--- a/entry/server/format_test.go
+++ b/entry/server/format_test.go
@@ -23,7 +23,9 @@
 	}{
 		{"status", server.Status{
 			Host: "host-1", Zone: "for-a", Region: "for", Phase: "live", Ticket: 7,
-			Members: []server.MemberStatus{{Host: "host-2", Zone: "for-b", Phase: "leaving", Ticket: 6, IsLive: true, HeartbeatAge: 310}},
+			Members: []server.MemberStatus{{
+				Host: "host-2", Address: "10.0.0.1:8548", Zone: "for-b", Phase: "leaving", Ticket: 6, IsLive: true, HeartbeatAge: 310,
+			}},
 			Upstreams: []server.UpstreamStatus{
 				{Name: "desk-1", Service: "desk", Slots: 8, ConcurrencyLimit: 5, InFlight: 3, MeanServiceTime: 42, IsDraining: true},
 				{Name: "order-1", Service: "order", Slots: 9, ConcurrencyLimit: 4, InFlight: 2, MeanServiceTime: 43, IsEjected: true},
--- a/entry/server/status.go
+++ b/entry/server/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/router"
+	"github.com/endiverun/endiverun/core/tracker"
 	"github.com/endiverun/endiverun/entry/listener"
 )
 
@@ -28,6 +29,7 @@
 // MemberStatus describes another host as this one knows it.
 type MemberStatus struct {
 	Host         core.HostName     `json:"host"`
+	Address      string            `json:"client-address"`
 	Zone         core.ZoneName     `json:"zone"`
 	Phase        core.Phase        `json:"phase"`
 	Ticket       core.TicketNumber `json:"ticket"`
@@ -78,16 +80,17 @@
 
 func (s *Server) addMembers(status *Status, now time.Time) {
 	for _, member := range s.steerer.Tracker.Live(now) {
-		status.Members = append(status.Members, MemberStatus{
-			Host: member.Host.Name, Zone: member.Host.Zone.Name, Phase: member.Phase, Ticket: member.TicketNumber,
-			IsLive: true, HeartbeatAge: core.MillisecondsOf(now.Sub(member.ReceivedAt)),
-		})
+		status.Members = append(status.Members, newMemberStatus(member, true, now))
 	}
 	for _, member := range s.steerer.Tracker.Expired(now) {
-		status.Members = append(status.Members, MemberStatus{
-			Host: member.Host.Name, Zone: member.Host.Zone.Name, Phase: member.Phase, Ticket: member.TicketNumber,
-			HeartbeatAge: core.MillisecondsOf(now.Sub(member.ReceivedAt)),
-		})
+		status.Members = append(status.Members, newMemberStatus(member, false, now))
+	}
+}
+
+func newMemberStatus(member tracker.Member, isLive bool, now time.Time) MemberStatus {
+	return MemberStatus{
+		Host: member.Host.Name, Address: member.Host.ClientAddress, Zone: member.Host.Zone.Name, Phase: member.Phase,
+		Ticket: member.TicketNumber, IsLive: isLive, HeartbeatAge: core.MillisecondsOf(now.Sub(member.ReceivedAt)),
 	}
 }
 
