Answer the requests that the end of a stop breaks off

Cause: a request that a stopping host accepted while clients could still be sent to it may wait until the host's end, if its client has more time. It was then cut with its connection. The users excuse that for a request at which its upstream is at work in the last sixth of the grace period, but not for one that still waits in the upstream's queue.

Seen by callers: a closed connection and no answer (EOF), at 5.6 s of a grace period of 6 s and at 2.6 s of one of 3 s.

The host still ends within its grace period. Since the break lies at five sixths of the grace period or later, no request loses time.

Evidence: TestEndAnswersWhatItBreaksOff; it fails without the call of breakOff (the connection ends with the process; 1 request still pending).

--- a/entry/controller/stop.go
+++ b/entry/controller/stop.go
@@ -30,9 +30,9 @@
 	time.Sleep(time.Until(schedule.AcceptsUntil))
 }
 
-// recordStop logs the end of the host, and each request that is cut by it.
+// recordStop logs the end of the host, and each request that it cut.
 func (c *Controller) recordStop(now time.Time) {
-	cut := c.forwarder.Pending()
+	cut := c.forwarder.Cut()
 	for _, p := range cut {
 		c.Log.Event(logger.RequestCut).
 			Str("request", p.RequestID).Str("route", string(p.Route)).Str("service", string(p.Service)).
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -178,6 +178,35 @@
 	}
 }
 
+// TestEndAnswersWhatItBreaksOff guards against a stop that ends without an answer to a request
+// that an upstream has not answered, perhaps because it still waits in the upstream's queue. Its
+// upstream is told to cancel it.
+func TestEndAnswersWhatItBreaksOff(t *testing.T) {
+	for _, route := range []core.Route{orderRoute, lookupRoute} {
+		is := is.New(t)
+		u := &fakeUpstream{} // It never responds.
+		h := newHost(t, route, u)
+		c := h.dial(t)
+		c.send("/o/1")
+		for u.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		h.stopWithin(50 * time.Millisecond)
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), fasthttp.StatusBadGateway) // It may have run.
+		is.True(response.ConnectionClose())
+		is.NoErr(<-h.done)
+		is.Equal(h.lastFailure.Load().Cause, "outcome-unknown")
+		is.Equal(len(h.Pending()), 0)
+		is.Equal(len(h.Cut()), 1)
+		for u.disconnects.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(u.requests.Load(), int32(1))
+	}
+}
+
 // TestPendingNamesRequests checks the description of a request that an upstream still works
 // on when its host ends.
 func TestPendingNamesRequests(t *testing.T) {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -49,6 +49,9 @@
 	maxConnections = 3000
 )
 
+// lastAnswersPollInterval is the time between two checks whether all requests have been answered.
+const lastAnswersPollInterval = 2 * time.Millisecond
+
 // HeaderNames are the names of the header fields exchanged between clients and hosts.
 type HeaderNames struct {
 	// RequestID is the header with the client's identifier of one attempt.
@@ -139,6 +142,10 @@
 	// drain is nil until StartDraining is called.
 	drain  atomic.Pointer[core.DrainSchedule]
 	server *fasthttp.Server
+	// attempts ends at the end of the schedule, and with it all attempts.
+	attempts context.Context //nolint:containedctx // The handlers of the server get no context of Run.
+	// cut holds the requests that were in flight then.
+	cut []Pending
 }
 
 // SetPolicy replaces the routing policy.
@@ -163,9 +170,15 @@
 	return f.pending.list()
 }
 
+// Cut returns the requests that were in flight at the end of Run's schedule and got no response
+// of an upstream for that reason. It may be called after Run.
+func (f *Forwarder) Cut() []Pending {
+	return f.cut
+}
+
 // Run serves clients until ctx ends. Then it closes the listener and idle connections, and
 // waits for requests in flight until the end of the schedule of StartDraining, or not at all
-// if that was not called. Pending returns the requests that are then cut.
+// if that was not called. It breaks off those that remain, and answers them if it still can.
 func (f *Forwarder) Run(ctx context.Context, listener net.Listener) error {
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
@@ -186,6 +199,9 @@
 		ErrorHandler:                  rejectMalformed,
 		Logger:                        discardLogger{},
 	}
+	var breakOff context.CancelFunc
+	f.attempts, breakOff = context.WithCancel(context.Background())
+	defer breakOff()
 	accepting := detector.Listener{Listener: acceptor.Listener{Listener: listener, OnRetry: f.OnAcceptError}}
 	failed := make(chan error, 1)
 	go func() { failed <- f.server.Serve(accepting) }()
@@ -194,22 +210,28 @@
 		return err
 	case <-ctx.Done():
 	}
-	return f.shutDown(time.Now())
+	return f.shutDown(time.Now(), breakOff)
 }
 
 // shutDown ends the server. Connections on which no whole request arrives in time are closed;
-// they are no error.
-func (f *Forwarder) shutDown(now time.Time) error {
+// they are no error. Requests whose upstreams have not responded at the end are broken off: a
+// client that is told so need not guess, and may send an idempotent request again.
+func (f *Forwarder) shutDown(now time.Time, breakOff func()) error {
 	if !f.isDraining() {
 		f.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now})
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), f.drain.Load().End)
 	defer cancel()
 	err := f.server.ShutdownWithContext(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	f.cut = f.Pending()
+	breakOff()
+	for len(f.Pending()) > 0 && time.Now().Before(f.drain.Load().AnswersUntil) {
+		time.Sleep(lastAnswersPollInterval)
 	}
-	return err
+	return nil
 }
 
 // discardLogger discards the log lines of the HTTP library. The host logs its
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -177,7 +177,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopWithin = func(timeout time.Duration) {
 		now := time.Now()
-		h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(timeout)})
+		end := now.Add(timeout)
+		h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: end, AnswersUntil: end.Add(time.Second)})
 		cancel()
 	}
 	go func() { h.done <- h.Run(ctx, listener) }()
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -77,10 +78,10 @@
 	r.span = f.Tracer.Start(string(ctx.Request.Header.Peek(caller.HeaderTraceparent)), "entry.request")
 	defer func() { r.span.End(r.failureCause()) }()
 	f.RetryBudget.RecordRequest(r.service, r.start)
-	attemptsCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	attemptsCtx, cancel := context.WithCancelCause(f.attempts)
+	defer cancel(nil)
 	if conn, ok := ctx.Conn().(*detector.Conn); ok {
-		conn.Watch(cancel)
+		conn.Watch(func() { cancel(errClientLeft) })
 		defer conn.Unwatch()
 	}
 	r.forward(attemptsCtx)
@@ -114,8 +115,15 @@
 	return r
 }
 
+// errClientLeft is the cause of the end of a request whose client has disconnected.
+var errClientLeft = errors.New("the client has left")
+
+func hasClientLeft(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errClientLeft)
+}
+
 // forward makes attempts until one of them yields the final response, no further
-// attempt is possible, or ctx ends because the client has disconnected.
+// attempt is possible, or ctx ends because the client has disconnected or the host ends.
 func (r *requestState) forward(ctx context.Context) {
 	for len(r.tried) < maxAttempts && ctx.Err() == nil {
 		now := time.Now()
@@ -124,7 +132,7 @@
 			break
 		}
 		result := r.sendAttempt(ctx, choice)
-		if ctx.Err() != nil {
+		if hasClientLeft(ctx) {
 			result.Close()
 			break
 		}
@@ -134,7 +142,7 @@
 			return
 		}
 	}
-	if ctx.Err() != nil {
+	if hasClientLeft(ctx) {
 		r.abandon()
 		return
 	}
@@ -256,7 +264,7 @@
 		r.forwardResponse(result)
 		return true
 	}
-	if result.State == core.RunUnknown && (result.TimedOut || !r.mayExecuteAgain()) {
+	if result.State == core.RunUnknown && (result.TimedOut || !r.mayExecuteAgain() || r.isRefusedByStop(time.Now())) {
 		r.respondUnknownOutcome(result)
 		return true
 	}
