Answer 408 to a body that stops between two chunks

Cause: the errors of the HTTP library for the framing of chunks do not wrap the error of the read, so that the deadline was not recognised and the body counted as malformed.

Seen by callers: 400 in place of 408, if the client's timeout passed before the rest of the body arrived and the part that had come ended within the framing of a chunk. A client does not repeat a request after 400.

Found by the random requests around stops, where an empty body in chunks was split after "0\r".

--- a/entry/forwarder/body.go
+++ b/entry/forwarder/body.go
@@ -76,6 +76,10 @@
 	}
 	if err != nil {
 		claim.Release()
+		if !time.Now().Before(deadline) {
+			// fasthttp's errors of chunks do not wrap that of the read.
+			err = errors.Join(err, os.ErrDeadlineExceeded)
+		}
 		return nil, err
 	}
 	return body, nil
--- a/entry/forwarder/body_test.go
+++ b/entry/forwarder/body_test.go
@@ -201,6 +201,26 @@
 	h.awaitBodyBytes(t, 0)
 }
 
+// TestChunksOfClientThatStalls guards against a refusal with 400 in place of 408 of a body that
+// stops within the framing of its chunks: a client does not repeat a request after 400.
+func TestChunksOfClientThatStalls(t *testing.T) {
+	const body = "4\r\nbody\r\n0\r\n\r\n"
+	h := newBodyHost(t, core.Mebibyte, &fakeUpstream{response: completeResponse})
+	for sent := range len(body) {
+		t.Run(fmt.Sprintf("after %q", body[:sent]), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := h.dial(t)
+			head := "POST /o/1 HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 200\r\nTransfer-Encoding: chunked\r\n\r\n"
+			_, err := io.WriteString(c, head+body[:sent])
+			is.NoErr(err)
+			response, err := c.receive()
+			is.NoErr(err)
+			is.Equal(response.StatusCode(), fasthttp.StatusRequestTimeout)
+		})
+	}
+}
+
 // TestBodyArrivesWhole guards against a body that is changed on its way, also when a second
 // upstream gets it after the first did not run the request.
 func TestBodyArrivesWhole(t *testing.T) {
