Answer a request that was read ahead when a host starts to drain

Cause: a draining host closes each connection after its next response. While an upstream works on a request, the host reads in the background, to notice that the client leaves; a part of the client's next request (pipelining) that came in this way was dropped with the connection.

Seen by callers: "Connection: close" on a response behind which another request waited, which the host had read and did not answer.

Change: while the host accepts connections, it answers such a request before it closes the connection. Afterwards, and for requests that arrive in one packet (the HTTP library does not tell what it has buffered), the close remains: the response before says so, and the request has not run.

Evidence: TestDrainingAnswersPipelinedRequest; before, the first response closed the connection.

--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// HasReadAhead reports whether a part of the next request has been read and is buffered. It
+// must not be called between Watch and Unwatch.
+func (c *Conn) HasReadAhead() bool {
+	return len(c.buffered) > 0
+}
+
 // Unwatch stops the background read and waits until it has returned.
 func (c *Conn) Unwatch() {
 	c.mu.Lock()
--- a/entry/forwarder/drain.go
+++ b/entry/forwarder/drain.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/detector"
 )
 
 // StartDraining starts draining: from now on the host closes each client connection
@@ -22,11 +23,17 @@
 }
 
 // closeIfDraining makes the server close the client's connection after the response if the
-// host drains.
-func (f *Forwarder) closeIfDraining(ctx *fasthttp.RequestCtx) {
-	if f.isDraining() {
-		ctx.SetConnectionClose()
+// host drains. While it accepts connections, it first answers what it has read of a next request.
+func (f *Forwarder) closeIfDraining(ctx *fasthttp.RequestCtx, now time.Time) {
+	schedule := f.drain.Load()
+	if schedule == nil {
+		return
 	}
+	conn, ok := ctx.Conn().(*detector.Conn)
+	if ok && conn.HasReadAhead() && now.Before(schedule.AcceptsUntil) {
+		return
+	}
+	ctx.SetConnectionClose()
 }
 
 // isRefusedByStop reports whether the host drains and may end before the response to the
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -207,6 +207,28 @@
 	}
 }
 
+// TestDrainingAnswersPipelinedRequest guards against a request that is read ahead while an
+// upstream works on the one before, and then dropped since the connection is closed after that.
+func TestDrainingAnswersPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{response: completeResponse, delay: 100 * time.Millisecond}
+	h := newHost(t, orderRoute, u)
+	c := h.dial(t)
+	c.send("/o/1")
+	for u.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	end := time.Now().Add(time.Minute)
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: end, End: end})
+	c.send("/o/2")
+	for n := range 2 {
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), fasthttp.StatusOK)
+		is.Equal(response.ConnectionClose(), n == 1)
+	}
+}
+
 // TestPendingNamesRequests checks the description of a request that an upstream still works
 // on when its host ends.
 func TestPendingNamesRequests(t *testing.T) {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -259,7 +259,7 @@
 	now := time.Now()
 	request := f.pending.add(f.requestID(ctx), now)
 	defer f.pending.removeAfterResponse(ctx, request)
-	defer f.closeIfDraining(ctx)
+	defer func() { f.closeIfDraining(ctx, time.Now()) }()
 	policy := f.awaitPolicy(f.holdDeadline(ctx, now))
 	if policy == nil {
 		f.respondUnavailable(ctx, Event{RequestID: f.requestID(ctx)}, "no-policy", notReadyRetryAfter)
