Keep the last response on a connection when a next request is unread

Cause: a draining host closes each connection after its next response. If a part of the client's next request (pipelining) has arrived and is not read, the operating system resets the connection and discards what the client has not received of the response.

Seen by callers: "connection reset by peer" within a long response that an upstream had completed.

Change: a connection that is closed by the drain lingers, as it does after a body that is refused: the host closes its sending end and discards what still arrives, until the client closes its own. Idle connections are closed as before.

--- a/entry/forwarder/drain.go
+++ b/entry/forwarder/drain.go
@@ -9,6 +9,10 @@
 	"github.com/endiverun/endiverun/entry/detector"
 )
 
+// drainLinger is how long a client may take to read the last response on its connection, and to
+// close its end.
+const drainLinger = 5 * time.Second
+
 // StartDraining starts draining: from now on the host closes each client connection
 // after its next response, and refuses requests that it could not answer before its end. It
 // may be called before ctx of Run ends, so that clients leave while the host still accepts
@@ -29,9 +33,13 @@
 	if schedule == nil {
 		return
 	}
-	conn, ok := ctx.Conn().(*detector.Conn)
-	if ok && conn.HasReadAhead() && now.Before(schedule.AcceptsUntil) {
-		return
+	if conn, ok := ctx.Conn().(*detector.Conn); ok {
+		if conn.HasReadAhead() && now.Before(schedule.AcceptsUntil) {
+			return
+		}
+		// Bytes of a next request that are not read must not reset the connection, which could
+		// cost the client this response.
+		conn.LingerOnClose(drainLinger)
 	}
 	ctx.SetConnectionClose()
 }
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -229,6 +229,30 @@
 	}
 }
 
+// TestDrainingKeepsResponseBeforePipelinedRequest guards against a response that is lost because
+// the connection is reset after it: a part of the client's next request was never read.
+func TestDrainingKeepsResponseBeforePipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	u := &fakeUpstream{delay: 50 * time.Millisecond, response: fmt.Sprintf(
+		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))}
+	h := newHost(t, orderRoute, u)
+	c := h.dial(t)
+	c.send("/o/1")
+	for u.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(time.Minute)})
+	for range 20 {
+		c.send("/o/2")
+	}
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(len(response.Body()), size)
+	is.True(response.ConnectionClose())
+}
+
 // TestPendingNamesRequests checks the description of a request that an upstream still works
 // on when its host ends.
 func TestPendingNamesRequests(t *testing.T) {
