--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -178,6 +178,81 @@
 	}
 }
 
+// TestEndAnswersWhatItBreaksOff guards against a stop that ends without an answer to a request
+// that an upstream has not answered, perhaps because it still waits in the upstream's queue. Its
+// upstream is told to cancel it.
+func TestEndAnswersWhatItBreaksOff(t *testing.T) {
+	for _, route := range []core.Route{orderRoute, lookupRoute} {
+		is := is.New(t)
+		u := &fakeUpstream{} // It never responds.
+		h := newHost(t, route, u)
+		c := h.dial(t)
+		c.send("/o/1")
+		for u.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		h.stopWithin(50 * time.Millisecond)
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), fasthttp.StatusBadGateway) // It may have run.
+		is.True(response.ConnectionClose())
+		is.NoErr(<-h.done)
+		is.Equal(h.lastFailure.Load().Cause, "outcome-unknown")
+		is.Equal(len(h.Pending()), 0)
+		is.Equal(len(h.Cut()), 1)
+		for u.disconnects.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(u.requests.Load(), int32(1))
+	}
+}
+
+// TestDrainingAnswersPipelinedRequest guards against a request that is read ahead while an
+// upstream works on the one before, and then dropped since the connection is closed after that.
+func TestDrainingAnswersPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{response: completeResponse, delay: 100 * time.Millisecond}
+	h := newHost(t, orderRoute, u)
+	c := h.dial(t)
+	c.send("/o/1")
+	for u.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	end := time.Now().Add(time.Minute)
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: end, End: end})
+	c.send("/o/2")
+	for n := range 2 {
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), fasthttp.StatusOK)
+		is.Equal(response.ConnectionClose(), n == 1)
+	}
+}
+
+// TestDrainingKeepsResponseBeforePipelinedRequest guards against a response that is lost because
+// the connection is reset after it: a part of the client's next request was never read.
+func TestDrainingKeepsResponseBeforePipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	u := &fakeUpstream{delay: 50 * time.Millisecond, response: fmt.Sprintf(
+		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))}
+	h := newHost(t, orderRoute, u)
+	c := h.dial(t)
+	c.send("/o/1")
+	for u.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	h.StartDraining(core.DrainSchedule{AcceptsUntil: now, End: now.Add(time.Minute)})
+	for range 20 {
+		c.send("/o/2")
+	}
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(len(response.Body()), size)
+	is.True(response.ConnectionClose())
+}
+
 // TestPendingNamesRequests checks the description of a request that an upstream still works
 // on when its host ends.
 func TestPendingNamesRequests(t *testing.T) {
