Close the connections to other hosts at the same time

Cause: at its end, a host closed its connections to other hosts one after the other. For each it waited until its dial had ended, up to the timeout of a handshake, and until QUIC had ended the connection, which takes long in a process that is short of processor time.

Seen by callers: two hosts of endiverun-entry outlasted their stop timeout of 10 s by more than 10 s in the demo (--fault rolling-restart) at a load of 26 to 50 on 8 cores.

Change: the connections are closed together, and a dial that has not ended is cancelled.

Evidence: TestStopAwaitsNoHandshake, 2.0 s before (1 s allowed); TestStopClosesConnectionsTogether, more than 3 s before with 10 connections that take 0.3 s each to close.

--- a/entry/messenger/call.go
+++ b/entry/messenger/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/limiter"
@@ -219,15 +220,17 @@
 	if m.connections == nil {
 		m.connections = map[string]*connection{}
 	}
-	c := &connection{ready: make(chan struct{}), lastUse: time.Now(), close: func() {}}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	c := &connection{ready: make(chan struct{}), endDial: cancel, lastUse: time.Now(), close: func() {}}
 	m.connections[address] = c
-	go m.open(address, c)
+	go m.open(ctx, address, c)
 	return c
 }
 
 // open opens a connection from a new socket, then waits until it ends.
-func (m *Messenger) open(address string, c *connection) {
-	err := m.dial(address, c)
+func (m *Messenger) open(ctx context.Context, address string, c *connection) {
+	err := m.dial(ctx, address, c)
+	c.endDial()
 	if err != nil {
 		c.err = err
 		m.removeConnection(address, c)
@@ -239,7 +242,7 @@
 	}
 }
 
-func (m *Messenger) dial(address string, c *connection) error {
+func (m *Messenger) dial(ctx context.Context, address string, c *connection) error {
 	remote, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return err
@@ -252,8 +255,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	defer cancel()
 	transport := &quic.Transport{Conn: socket}
 	c.close = func() {
 		_ = transport.Close()
@@ -278,6 +279,7 @@
 // closeConnection closes a connection; the next use of the address opens a new one.
 func (m *Messenger) closeConnection(address string, c *connection, code quic.ApplicationErrorCode) {
 	m.removeConnection(address, c)
+	c.endDial()
 	<-c.ready
 	if c.err != nil {
 		return
@@ -336,8 +338,12 @@
 	return connections
 }
 
+// closeAll closes all connections at the same time, since each may take long in a process that
+// is short of processor time.
 func (m *Messenger) closeAll() {
+	var group conc.WaitGroup
 	for address, c := range m.copyConnections() {
-		m.closeConnection(address, c, codeClosed)
+		group.Go(func() { m.closeConnection(address, c, codeClosed) })
 	}
+	group.Wait()
 }
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -114,9 +114,11 @@
 }
 
 // connection is an outgoing connection that is open or being opened. The other fields
-// except lastUse are set before ready is closed.
+// except lastUse and endDial are set before ready is closed.
 type connection struct {
-	ready   chan struct{}
+	ready chan struct{}
+	// endDial ends the dial, if it has not ended.
+	endDial context.CancelFunc
 	conn    *quic.Conn
 	err     error
 	lastUse time.Time
--- a/entry/messenger/stop_test.go
+++ b/entry/messenger/stop_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"math/big"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,6 +117,73 @@
 	is.Equal(len(reply.Response.Body), len(body))
 }
 
+// TestStopAwaitsNoHandshake guards against a stop that waits for the connections that the host is
+// opening, up to the timeout of a handshake, since their peers are silent.
+func TestStopAwaitsNoHandshake(t *testing.T) {
+	is := is.New(t)
+	_, to := newPair(t)
+	silent, err := messenger.ListenUDP("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- to.Run(ctx) }()
+	to.Send(silent.LocalAddr().String(), nil)
+	_, _, err = silent.ReadFrom(make([]byte, 2000)) // The handshake has begun.
+	is.NoErr(err)
+	start := time.Now()
+	stop()
+	is.NoErr(<-done)
+	is.True(time.Since(start) < time.Second) // A handshake may take 2 s.
+}
+
+// slowSocket is a socket that takes a time to close.
+type slowSocket struct {
+	net.PacketConn
+	delay time.Duration
+}
+
+// Close closes the socket.
+func (s slowSocket) Close() error {
+	time.Sleep(s.delay)
+	return s.PacketConn.Close()
+}
+
+// TestStopClosesConnectionsTogether guards against a stop that closes one connection after the
+// other, and takes as long as all of them together.
+func TestStopClosesConnectionsTogether(t *testing.T) {
+	const (
+		peers = 10
+		delay = 300 * time.Millisecond
+	)
+	is := is.New(t)
+	from, to := newPair(t)
+	socket, err := messenger.ListenUDP("0.0.0.0:0")
+	is.NoErr(err)
+	to.ListenSocket = func(string) (net.PacketConn, error) { return socket, nil }
+	to.Handle = func(context.Context, messenger.Call) messenger.Reply { return messenger.Reply{RunState: core.NotRun} }
+	start(t, to)
+	from.OpenSocket = func(address string) (net.PacketConn, error) {
+		socket, err := messenger.OpenUDP(address)
+		return slowSocket{PacketConn: socket, delay: delay}, err
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- from.Run(ctx) }()
+	address, err := netip.ParseAddrPort(socket.LocalAddr().String())
+	is.NoErr(err)
+	for n := range peers {
+		target := &messenger.Messenger{Self: to.Self}
+		target.Self.PeerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + n)}), address.Port()).String()
+		_, err := send(from, target)
+		is.NoErr(err)
+	}
+	stopped := time.Now()
+	stop()
+	is.NoErr(<-done)
+	is.True(time.Since(stopped) < peers*delay)
+}
+
 // cutCall sends a request until it has started to arrive, and returns the error with which it ends.
 func cutCall(t *testing.T, from, to *messenger.Messenger, hasStarted func() bool) *messenger.CallError {
 	t.Helper()
