End a stop of endiverun-entry in time when a task does not end

Cause: after the end of its schedule, a host waited without a limit for its background tasks, among them the messenger with the calls of other hosts.

Seen by callers: a stop that outlasts its timeout, until the process is killed.

Change: the wait ends 0.3 s after the end of the schedule at the latest, which leaves 0.1 s of the stop timeout.

--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -36,6 +36,7 @@
 	"github.com/endiverun/endiverun/entry/messenger"
 	"github.com/endiverun/endiverun/entry/storer"
 	"github.com/endiverun/endiverun/entry/tracer"
+	"github.com/endiverun/endiverun/entry/waiter"
 )
 
 // drainGracePeriod is how long a draining host still accepts requests of clients that
@@ -45,6 +46,10 @@
 // maxSendDelay is how late bytes may be sent after their bandwidth was reserved.
 const maxSendDelay = time.Second
 
+// taskExitTimeout is how long the end of the background tasks may take beyond the end of a stop.
+// It is longer than the messenger needs to close its connections, and ends before the process is killed.
+const taskExitTimeout = 300 * time.Millisecond
+
 // idlePollInterval is the time between two checks for work in progress.
 const idlePollInterval = 20 * time.Millisecond
 
@@ -127,7 +132,8 @@
 	s.finishRequests()
 	stopTasks()
 	s.storer.Close()
-	group.Wait()
+	// Whatever a task still waits for, its result would come too late.
+	waiter.WaitTimeout(time.Until(s.stopEnd)+taskExitTimeout, group.Wait)
 	s.caller.Close()
 	s.log.Event(logger.HostStopped).Send()
 	return errors.Join(err, s.tracer.Close(context.Background()))
