Check that a stop uses its grace period up to the last sixth

A request that was accepted while clients could still connect may be broken off at the end of the stop. The users excuse that only if its upstream is at work in the last sixth of the grace period, so no schedule may end before it, for any grace period, and none after it.

TestDrainScheduleUsesGracePeriod covers grace periods from 0.1 s to 60 s.

--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -9,6 +9,19 @@
 	"github.com/endiverun/endiverun/core"
 )
 
+// TestDrainScheduleUsesGracePeriod guards against a stop that breaks off requests before the last
+// sixth of its grace period, in which users expect it, or that ends after the grace period.
+func TestDrainScheduleUsesGracePeriod(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	for gracePeriod := 100 * time.Millisecond; gracePeriod <= time.Minute; gracePeriod += 100 * time.Millisecond {
+		schedule := core.NewDrainSchedule(min(2200*time.Millisecond, gracePeriod/3), gracePeriod, now)
+		is.True(schedule.End.Sub(now) >= gracePeriod-gracePeriod/6)
+		is.True(schedule.AnswersUntil.After(schedule.End))
+		is.True(schedule.AnswersUntil.Sub(now) < gracePeriod)
+	}
+}
+
 // TestDrainSchedule guards against a request that a stopping host accepts although it ends
 // before the response is due, and against a stop that outlasts its grace period.
 func TestDrainSchedule(t *testing.T) {
