A restored store: hold what is known of upstreams until an answer about them

Cause: for 3 heartbeats and 3 s after a restore the older state in the store does not undo what a host knows of upstreams. The hold ended with any answer of the store after that, also one about evacuations or a probe. If the watch of upstreams was lost at that moment, the host still held a list with entries of upstreams that had ended.

Callers: requests to an upstream that had left, until the watch timed out.

Change: the hold ends with a list or a watch of upstreams, in the era of the copy. A watcher tells the era of each response. A reader tells its followers in its heartbeats how long ago the store confirmed its list of upstreams (UpstreamsAge); followers of a reader that does not tell, such as one of an earlier build, keep the hold until they read the store or have another reader.

Evidence: TestSettlesWithAnswerAboutUpstreams, TestReaderConfirmsUpstreams and the model TestRestoredStore, in which the store now also answers calls about other things, pass. The first two fail if the hold ends with any response ("[u/1 ready] != [u/1 draining]").

Tests that changed: settle() and the models confirm the list of upstreams where they only recorded a response, since that no longer ends the hold; what they require is the same.

--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -30,6 +30,7 @@
 			update := store.list()
 			update.Evacuations = &replicator.Evacuations{Revision: store.revision, Zones: store.zones()}
 			reader.ApplyUpdate(update, now)
+			reader.ConfirmUpstreams(store.era, now)
 		}
 		follow := func() {
 			before, hasContents := follower.Held(), follower.Snapshot().Upstreams != nil
@@ -43,6 +44,7 @@
 			if after.Era < before.Era || after.Era == before.Era && after.Upstreams < before.Upstreams {
 				t.Fatal("the follower's revision decreased")
 			}
+			follower.ConfirmUpstreams(after.Era, reader.UpstreamsConfirmed())
 			follower.Settle(now)
 			if !now.Before(settled) {
 				requireEqual(t, reader.Snapshot(), follower.Snapshot())
@@ -52,6 +54,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			follower.RecordStoreResponse(now)
+			reader.ConfirmUpstreams(store.era, now) // Nothing has changed since it read.
 			name := fmt.Sprint("u-", rapid.IntRange(0, 9).Draw(t, "upstream"))
 			registered := maps.Clone(store.registered)
 			switch rapid.SampledFrom(actions).Draw(t, "action") {
@@ -231,6 +234,8 @@
 			case "recovery":
 				full.RecordStoreResponse(now)
 				delta.RecordStoreResponse(now)
+				full.ConfirmUpstreams(store.era, now)
+				delta.ConfirmUpstreams(store.era, now)
 			case "restore":
 				if len(store.history) > 0 {
 					store.restore(rapid.IntRange(0, len(store.history)-1).Draw(t, "copy"))
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -36,6 +36,7 @@
 //
 //	r := &replicator.Replicator{OnChange: apply}
 //	r.ApplyUpdate(replicator.Snapshot{Upstreams: &list}, now)
+//	r.ConfirmUpstreams(era, now) // after each answer about upstreams
 //	r.Settle(now) // periodically
 //	snapshot := r.Snapshot()
 //
@@ -168,6 +169,9 @@
 	graceUntil time.Time
 	// returnedAt is when the store last responded after a silence longer than the settle time.
 	returnedAt time.Time
+	// upstreamsConfirmed is when the store last confirmed the list of upstreams in the era of
+	// the copy; zero if it did not yet.
+	upstreamsConfirmed time.Time
 }
 
 // Snapshot returns the current copy.
@@ -233,7 +237,7 @@
 	if h != nil {
 		r.current.Hosts = &Hosts{List: h.List}
 	}
-	r.current.Era = era
+	r.current.Era, r.upstreamsConfirmed = era, time.Time{}
 	r.listed, r.retained = r.current, nil
 	return hasContents
 }
@@ -291,7 +295,8 @@
 // Settle takes the lists as they were given once there is no more reason to differ from
 // them. It removes the retained upstreams and zones when the grace period has ended: by
 // then, live upstreams have registered again. It no longer corrects the list of upstreams
-// when the store has responded at the end of the settle time or later. Call it periodically.
+// when the store has confirmed that list at the end of the settle time or later. Call it
+// periodically.
 func (r *Replicator) Settle(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,7 +306,7 @@
 		changed.Evacuations = r.current.Evacuations
 	}
 	hasExpired := len(r.retained) > 0 && !r.mayHaveExpired(now)
-	hasSettled := r.restoration.isOver(r.lastResponse)
+	hasSettled := r.restoration.isOver(r.upstreamsConfirmed)
 	if hasSettled {
 		r.restoration = restoration{}
 	}
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -34,7 +34,7 @@
 	// graceUntil is the time until which the operator and live upstreams write again.
 	graceUntil time.Time
 	// settledAt is the time from which the entry of every upstream that has ended is gone.
-	// Only a response of the store since then shows which entries are left.
+	// Only an answer about upstreams since then shows which entries are left.
 	settledAt time.Time
 }
 
@@ -95,10 +95,29 @@
 	return !s.settledAt.IsZero()
 }
 
-// isOver reports whether a store that last responded at the given time lists no upstream in
-// an older state.
-func (s *restoration) isOver(lastResponse time.Time) bool {
-	return s.isSettling() && !lastResponse.Before(s.settledAt)
+// isOver reports whether a store that last confirmed the list of upstreams at the given time
+// lists none in an older state.
+func (s *restoration) isOver(confirmed time.Time) bool {
+	return s.isSettling() && !confirmed.Before(s.settledAt)
+}
+
+// ConfirmUpstreams records that the store, in the given era, confirmed the copy's list of
+// upstreams by an answer about them at the given time. It does nothing if the copy is of
+// another era.
+func (r *Replicator) ConfirmUpstreams(era core.Era, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era == r.current.Era && at.After(r.upstreamsConfirmed) {
+		r.upstreamsConfirmed = at
+	}
+}
+
+// UpstreamsConfirmed returns the last time passed to ConfirmUpstreams in the era of the copy,
+// or the zero time.
+func (r *Replicator) UpstreamsConfirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.upstreamsConfirmed
 }
 
 // correct returns the list of the store without what the copy knows to be outdated. Until
--- a/core/replicator/restore_test.go
+++ b/core/replicator/restore_test.go
@@ -57,6 +57,7 @@
 // settle ends what is over at the given time, at which the store responds.
 func settle(r *replicator.Replicator, now time.Time) {
 	r.RecordStoreResponse(now)
+	r.ConfirmUpstreams(r.Snapshot().Era, now)
 	r.Settle(now)
 }
 
@@ -227,6 +228,29 @@
 	is.Equal(describe(r), []string{"u/1 ready"})
 }
 
+// TestSettlesWithAnswerAboutUpstreams guards against requests to an upstream that has ended,
+// on a host whose watch of upstreams is lost while the store answers other calls, or whose
+// list was last confirmed in an earlier era: it may still have the entry.
+func TestSettlesWithAnswerAboutUpstreams(t *testing.T) {
+	is := is.New(t)
+	r := &replicator.Replicator{}
+	late := start.Add(2 * settleTime)
+	r.ApplyUpdate(listOf(1, 50, entry("u", 1, "draining")), start)
+	r.ConfirmUpstreams(1, late)
+	r.ApplyUpdate(listOf(2, 40, entry("u", 1, "ready")), start)
+	is.True(r.UpstreamsConfirmed().IsZero())
+	r.ConfirmUpstreams(2, start.Add(settleTime-time.Millisecond))
+	r.ConfirmUpstreams(1, late)
+	r.ConfirmUpstreams(3, late)
+	r.RecordStoreResponse(late)
+	r.Settle(late)
+	is.Equal(describe(r), []string{"u/1 draining"})
+	r.ApplyUpdate(listOf(2, 41), late)
+	r.ConfirmUpstreams(2, late)
+	r.Settle(late)
+	is.Equal(describe(r), []string{})
+}
+
 // TestSettleTimeFollowsTheHeartbeat guards against a settle time that ends before the store
 // has removed the entries of upstreams that have ended.
 func TestSettleTimeFollowsTheHeartbeat(t *testing.T) {
--- a/core/replicator/restored_model_test.go
+++ b/core/replicator/restored_model_test.go
@@ -59,9 +59,11 @@
 	// that an update removed from it after its end.
 	ended map[core.UpstreamName]core.Incarnation
 	// settled is the time at which the copy has settled after a restore, if the store has
-	// responded then or later.
+	// confirmed the list of upstreams then or later.
 	settled      time.Time
 	lastResponse time.Time
+	// confirmed is when the store last confirmed the list of upstreams in the copy's era.
+	confirmed time.Time
 	// graceUntil is the end of the grace period after a time without any response.
 	graceUntil time.Time
 	held       []core.Upstream
@@ -157,7 +159,7 @@
 func (d *drill) act() {
 	name := fmt.Sprint("u-", rapid.IntRange(0, 4).Draw(d.t, "upstream"))
 	isAlive := d.processes[name].Incarnation > 0 && !d.hasEnded[name]
-	actions := []string{"start", "start", "drain", "stop", "crash", "cool", "evacuate", "restore", "read", "follow", "late"}
+	actions := []string{"start", "start", "drain", "stop", "crash", "cool", "evacuate", "restore", "read", "follow", "late", "other"}
 	switch rapid.SampledFrom(actions).Draw(d.t, "action") {
 	case "start":
 		if !isAlive {
@@ -190,6 +192,9 @@
 		d.read(d.hosts[1])
 	case "follow":
 		d.follow(d.hosts[rapid.IntRange(0, 1).Draw(d.t, "reader")])
+	case "other":
+		// The store answers a call about something else than upstreams.
+		d.respond(d.hosts[rapid.IntRange(1, 2).Draw(d.t, "host")])
 	case "late":
 		h := d.hosts[rapid.IntRange(0, 2).Draw(d.t, "host")]
 		d.answerLate(h, d.answers[rapid.IntRange(0, len(d.answers)-1).Draw(d.t, "answer")])
@@ -278,6 +283,9 @@
 func (d *drill) apply(h *drillHost, update replicator.Snapshot) {
 	before, hasContents := h.Snapshot().Era, h.Snapshot().Upstreams != nil
 	h.ApplyUpdate(update, d.now)
+	if h.Snapshot().Era > before {
+		h.confirmed = time.Time{}
+	}
 	isSettling := update.Upstreams != nil && update.Upstreams.IsSettling && h.hasSettled()
 	if h.Snapshot().Era > before && hasContents || isSettling {
 		h.settled = d.now.Add(settleTime)
@@ -289,6 +297,7 @@
 	update := d.store.list()
 	update.Evacuations = &replicator.Evacuations{Revision: d.store.revision, Zones: d.store.zones()}
 	d.apply(h, update)
+	h.confirm(d.store.era, d.now)
 	d.respond(h)
 	if h.hasSettled() && !d.now.Before(h.graceUntil) {
 		d.requireStored(h)
@@ -305,9 +314,17 @@
 	d.settle(h)
 }
 
+// confirm records that the store confirmed the list of upstreams in an era.
+func (h *drillHost) confirm(era core.Era, at time.Time) {
+	h.ConfirmUpstreams(era, at)
+	if era == h.Snapshot().Era && at.After(h.confirmed) {
+		h.confirmed = at
+	}
+}
+
 // hasSettled reports whether the copy has settled after the last restore.
 func (h *drillHost) hasSettled() bool {
-	return !h.lastResponse.Before(h.settled)
+	return !h.confirmed.Before(h.settled)
 }
 
 // follow lets the follower fetch the changes of a reader that has reached the store lately.
@@ -319,6 +336,9 @@
 	if h.Held().IsBehind(reader.Snapshot().Revisions()) {
 		d.apply(h, reader.ChangesSince(h.Held(), d.now))
 	}
+	if !h.Held().IsBehind(reader.Snapshot().Revisions()) {
+		h.confirm(reader.Snapshot().Era, reader.confirmed)
+	}
 	d.respond(h)
 }
 
--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -45,22 +45,35 @@
 	return r.capacity > other.capacity || r.capacity == other.capacity && r.weight > other.weight
 }
 
-// Reader returns the host of this host's zone that reads the store for it, and the
-// revisions of that host's copy. The reader is the ready host of the highest rank among
+// ReaderStatus is what is known about the host that reads the store for this one.
+type ReaderStatus struct {
+	Host core.Host
+	// Revisions are the revisions of its copy of the store.
+	Revisions core.Revisions
+	// UpstreamsConfirmed is when the store last confirmed its list of upstreams; zero if that
+	// is unknown.
+	UpstreamsConfirmed time.Time
+}
+
+// Reader returns the host of this host's zone that reads the store for it. The reader is the ready host of the highest rank among
 // those that read the store. Reader returns false where this host should read the
 // store itself:
 //
 //  1. in a small fleet,
 //  2. where this host has the highest rank, or
 //  3. where the hosts of a higher rank are silent, not ready, or do not reach the store.
-func (r *Roster) Reader(now time.Time) (core.Host, core.Revisions, bool) {
+func (r *Roster) Reader(now time.Time) (ReaderStatus, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.reader(now)
 	if m == nil {
-		return core.Host{}, core.Revisions{}, false
+		return ReaderStatus{}, false
+	}
+	status := ReaderStatus{Host: m.host, Revisions: m.heartbeat.Revisions}
+	if age := m.heartbeat.UpstreamsAge; age > 0 {
+		status.UpstreamsConfirmed = m.lastHeartbeat.Add(-age.Duration())
 	}
-	return m.host, m.heartbeat.Revisions, true
+	return status, true
 }
 
 // reader returns the member that reads the store for this host; nil where there is
--- a/core/roster/reader_test.go
+++ b/core/roster/reader_test.go
@@ -36,7 +36,7 @@
 func countReaders(fleet []*roster.Roster, now time.Time) int {
 	n := 0
 	for _, r := range fleet {
-		if _, _, ok := r.Reader(now); !ok {
+		if _, ok := r.Reader(now); !ok {
 			n++
 		}
 	}
@@ -108,8 +108,8 @@
 		is.True(fleet[3].HasHighestRank(start))
 		followers := 0
 		for _, r := range fleet {
-			if reader, _, ok := r.Reader(start); ok && r.Self.Zone == largest.Zone {
-				is.Equal(reader.Name == largest.Name, reads)
+			if reader, ok := r.Reader(start); ok && r.Self.Zone == largest.Zone {
+				is.Equal(reader.Host.Name == largest.Name, reads)
 				followers++
 			}
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -81,6 +81,9 @@
 	LoanSteps uint8 `cbor:"9,keyasint,omitempty"`
 	// NeedsShares says that rate limits left the host no upstream for some request lately.
 	NeedsShares bool `cbor:"10,keyasint,omitempty"`
+	// UpstreamsAge is the time since the store last confirmed the host's list of upstreams in
+	// the era of Revisions, at least 1; 0 if it did not or the host does not tell.
+	UpstreamsAge core.Milliseconds `cbor:"11,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
--- a/entry/controller/contact.go
+++ b/entry/controller/contact.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// ConfirmUpstreams records that the store answered a list or a watch of the upstreams in the
+// given era. Call it after the results of that call were applied.
+func (c *Controller) ConfirmUpstreams(era core.Era, now time.Time) {
+	c.replicator.ConfirmUpstreams(era, now)
+}
+
 // handleStoreFound is called when the store responds again after failures. Watches that
 // were pending meanwhile may have lost their responses, so they are renewed.
 func (c *Controller) handleStoreFound() {
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -50,8 +50,8 @@
 	started := time.Now()
 	isStarting := c.IsFirstStart && c.SetReadMode != nil
 	waiter.Every(ctx, followInterval, func(now time.Time) {
-		reader, revisions, ok := c.roster.Reader(now)
-		ok = ok && (c.isReady.Load() || c.IsFirstStart) && c.knowsEra(revisions)
+		reader, ok := c.roster.Reader(now)
+		ok = ok && (c.isReady.Load() || c.IsFirstStart) && c.knowsEra(reader.Revisions)
 		if !ok && isStarting && c.isAwaitingReader(now.Sub(started), now) {
 			return
 		}
@@ -60,8 +60,8 @@
 			c.setReadMode(ReadAll, "")
 			return
 		}
-		c.setReadMode(ReadNone, reader.Name)
-		c.syncWithReader(reader, revisions, now)
+		c.setReadMode(ReadNone, reader.Host.Name)
+		c.syncWithReader(reader, now)
 	})
 }
 
@@ -117,14 +117,15 @@
 
 // syncWithReader fetches the changes that the reader's snapshot has beyond the host's
 // own. If there are none, the host's snapshot is as new as the reader's.
-func (c *Controller) syncWithReader(reader core.Host, revisions core.Revisions, now time.Time) {
+func (c *Controller) syncWithReader(reader roster.ReaderStatus, now time.Time) {
 	held := c.replicator.Held()
-	if !held.IsBehind(revisions) {
+	if !held.IsBehind(reader.Revisions) {
 		c.replicator.RecordStoreResponse(now)
+		c.replicator.ConfirmUpstreams(reader.Revisions.Era, reader.UpstreamsConfirmed)
 		c.storeStatus.confirmSnapshot(now)
 		return
 	}
-	address := c.SnapshotAddress(reader)
+	address := c.SnapshotAddress(reader.Host)
 	update, err := c.fetcher.Fetch(address, held, c.Bounds.fetchTimeout())
 	if err != nil {
 		c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
@@ -173,4 +174,7 @@
 	storeAge, isReached := c.storeStatus.timeSinceReached(now)
 	heartbeat.ReadsStore = isReached && c.currentReadMode() == ReadAll
 	heartbeat.StoreAge = core.MillisecondsOf(storeAge)
+	if confirmed := c.replicator.UpstreamsConfirmed(); !confirmed.IsZero() {
+		heartbeat.UpstreamsAge = max(core.MillisecondsOf(now.Sub(confirmed)), 1)
+	}
 }
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -55,7 +55,7 @@
 		receiveHeartbeats(follower, roster.Heartbeat{Host: reader.Self, Ready: true, ReadsStore: true, Revisions: revisions})
 	}
 	sendHeartbeat()
-	if _, _, ok := follower.roster.Reader(time.Now()); !ok {
+	if _, ok := follower.roster.Reader(time.Now()); !ok {
 		t.Fatal("the follower has no reader")
 	}
 	ctx, stop := context.WithCancel(t.Context())
--- a/entry/controller/recovery_test.go
+++ b/entry/controller/recovery_test.go
@@ -130,7 +130,7 @@
 		List: store.list, Watch: store.watch, Breaker: breaker,
 		WatchTimeout: c.Bounds.WatchTimeout(history), BatchDelay: c.Bounds.BatchDelay(),
 		OnSnapshot: func(list watcher.List[int]) { copied = list.Objects["object"] },
-		OnSuccess:  func() { c.RecordStoreResponse(time.Now()) },
+		OnSuccess:  func(core.Era) { c.RecordStoreResponse(time.Now()) },
 		OnFailure:  func(err error) { c.RecordStoreFailure(err, time.Now()) },
 	}
 	ctx, stop := context.WithCancel(t.Context())
--- a/entry/controller/restore_test.go
+++ b/entry/controller/restore_test.go
@@ -114,3 +114,32 @@
 	c.ApplyUpstreamChanges(1, changes)
 	is.Equal(c.upstreamCount(), 0)
 }
+
+// TestReaderConfirmsUpstreams guards against requests to an upstream that has ended, on a host
+// whose reader has not heard of upstreams from the store since the settle time, though it
+// reaches the store: the reader's list may still have the entry.
+func TestReaderConfirmsUpstreams(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Incarnation: 1}
+	draining := upstream
+	draining.Draining = true
+	reader, follower := newController("reader", upstream), newController("follower", draining)
+	now := time.Now()
+	late := now.Add(time.Minute)
+	for _, c := range []*Controller{reader, follower} {
+		c.ApplyUpdate(restoredLists(upstream), now)
+	}
+	is.Equal(reader.newHeartbeat().UpstreamsAge, core.Milliseconds(0))
+	reader.ConfirmUpstreams(1, now)
+	is.True(reader.newHeartbeat().UpstreamsAge > 0)
+	status := roster.ReaderStatus{Host: reader.Self, Revisions: reader.replicator.Snapshot().Revisions()}
+	isDraining := func(confirmed time.Time) bool {
+		status.UpstreamsConfirmed = confirmed
+		follower.syncWithReader(status, late)
+		follower.replicator.Settle(late)
+		return follower.replicator.Snapshot().Upstreams.List[0].Draining
+	}
+	is.True(isDraining(time.Time{}))
+	is.True(isDraining(now))
+	is.True(!isDraining(late))
+}
--- a/entry/watcher/era_test.go
+++ b/entry/watcher/era_test.go
@@ -80,7 +80,7 @@
 		OnSnapshot: func(list List[int]) {
 			s.update(func() { s.copied, s.copiedEra = list.Objects["a"], list.Era })
 		},
-		OnSuccess: func() {},
+		OnSuccess: func(core.Era) {},
 		OnFailure: func(error) { s.update(func() { s.failures++ }) },
 	}
 }
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -18,7 +18,7 @@
 //
 //	w := &watcher.Watcher[Object]{
 //		List: list, Watch: watch, WatchTimeout: 10 * time.Second,
-//		OnSnapshot: apply, OnSuccess: func() {}, OnFailure: logFailure,
+//		OnSnapshot: apply, OnSuccess: func(core.Era) {}, OnFailure: logFailure,
 //	}
 //	w.Run(ctx)
 //
@@ -102,9 +102,9 @@
 	// Breaker is shared by the watchers of one store. If it is nil, Run creates one for
 	// this watcher alone.
 	Breaker *CircuitBreaker
-	// OnSuccess is called after each successful call to the store, and OnFailure
-	// after each failed one.
-	OnSuccess func()
+	// OnSuccess is called after each successful call to the store with the era of the
+	// response, and OnFailure after each failed one.
+	OnSuccess func(era core.Era)
 	OnFailure func(err error)
 
 	objects  map[string]T
@@ -152,7 +152,7 @@
 	switch {
 	case err == nil:
 		w.Breaker.recordSuccess()
-		w.OnSuccess()
+		w.OnSuccess(w.era)
 		waiter.Sleep(ctx, delay)
 	case errorx.IsOfType(err, errAbandoned):
 	case errorx.IsOfType(err, core.ErrHistoryGone):
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -59,7 +59,7 @@
 			return Changes[int]{Revision: after}, s.call()
 		},
 		OnSnapshot: func(List[int]) {},
-		OnSuccess:  func() {},
+		OnSuccess:  func(core.Era) {},
 		OnFailure:  func(error) {},
 	}
 }
@@ -114,7 +114,7 @@
 			return Changes[int]{}, core.ErrHistoryGone.New("compacted")
 		},
 		OnSnapshot: func(List[int]) {},
-		OnSuccess:  func() {},
+		OnSuccess:  func(core.Era) {},
 		OnFailure:  func(error) { t.Error("not a failure") },
 	}
 	w.Run(ctx)
@@ -139,7 +139,7 @@
 				return Changes[int]{Revision: after}, nil
 			},
 			OnSnapshot: func(List[int]) {},
-			OnSuccess:  func() {},
+			OnSuccess:  func(core.Era) {},
 			OnFailure:  func(error) {},
 		}
 		var group conc.WaitGroup
@@ -182,7 +182,7 @@
 		},
 		OnSnapshot: func(List[int]) {},
 		OnDelta:    func(after uint64, _ Changes[int]) { bases = append(bases, after) },
-		OnSuccess:  func() {},
+		OnSuccess:  func(core.Era) {},
 		OnFailure:  func(err error) { t.Error(err) },
 	}
 	w.Run(ctx)
@@ -212,7 +212,7 @@
 				return Changes[int]{Revision: after}, nil
 			},
 			OnSnapshot: func(List[int]) {},
-			OnSuccess:  func() {},
+			OnSuccess:  func(core.Era) {},
 			OnFailure:  func(error) {},
 		}
 		w.Run(ctx)
@@ -266,7 +266,7 @@
 					seen = append(seen, a)
 				}
 			},
-			OnSuccess: func() {},
+			OnSuccess: func(core.Era) {},
 			OnFailure: func(error) { t.Error("not a failure") },
 		}
 		var group conc.WaitGroup
@@ -311,7 +311,7 @@
 				return Changes[int]{Revision: after}, nil
 			},
 			OnSnapshot: func(List[int]) {},
-			OnSuccess:  func() {},
+			OnSuccess:  func(core.Era) {},
 			OnFailure:  func(error) {},
 		}
 		var group conc.WaitGroup
