One wrong answer of the store neither blinds a host nor ends its era

Cause: an answer that named exactly the next era was believed, and so was the first answer of all. If it was wrong, all true answers named an earlier era from then on and were discarded, and the host's lists counted as never read.

Change: each later era, the first one included, is used once two answers name it. The client makes the second call itself, a read of one object on a connection of its own, with a limit of 0.5 s, and then uses the first answer; so a true restore is noticed by the same answer as before, one short call later. If that call fails, the next answer of any call decides, as for larger steps before. An answer that names the latest era withdraws what a wrong one has named. An era is logged as unconfirmed (308) only if the second call did not confirm it.

Evidence: new cases of TestUnconfirmedEra fail if the next or the first era is believed at once ("[2 3] != [1]", "[1 2] != [0]"); TestConfirmationUsesAnotherConnection.

Tests that changed: the stand-in of the store answers the confirming calls apart from its scripted answers, by default with the era of the answer before, so all other tests of eras are unchanged. In TestUnconfirmedEra a step of two that is confirmed at once no longer loses its first answer; the case without a confirming answer still does.

Not covered: two wrong answers in a row that agree.

--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -12,6 +12,9 @@
 const (
 	// storeDialTimeout limits the opening of a connection to the store.
 	storeDialTimeout = time.Second
+	// confirmationTimeout limits the call that confirms an era, since the call that named it
+	// waits for it.
+	confirmationTimeout = 500 * time.Millisecond
 	// maxStoreBody limits the body of an answer. A page of a list has about a megabyte.
 	maxStoreBody = 4 * core.Mebibyte
 )
@@ -20,25 +23,35 @@
 // have connections of their own.
 //
 // The store may come back from an older copy, in a later era (see core.Era). The client reads
-// the era of each answer and discards answers of an era before the latest.
+// the era of each answer and discards answers of an era before the latest. An answer of a later
+// era is used once a second answer, to a call on another connection, names the same era.
 type StoreClient struct {
 	// Address is the store's IP address and port.
 	Address string
 	// EraHeader is the name of the header field in which the store's answers name its era.
 	// If it is empty, no answer names one.
 	EraHeader string
-	Eras      EraTracker
+	// ConfirmationPath is the path of a cheap read with which a later era is confirmed at once. If
+	// it is empty, the next answer of any call confirms it.
+	ConfirmationPath string
+	Eras             EraTracker
 	// OnCall is called with the operation of each call before it is made; it may be nil.
 	OnCall func(operation string)
 
 	client      fasthttp.Client
 	watchClient fasthttp.Client
+	// confirmClient has connections of its own: a fault of the one that named an era must not
+	// confirm it.
+	confirmClient fasthttp.Client
 }
 
 // NewStoreClient returns a client of the store at an IP address and port.
 func NewStoreClient(address string, dial DialFunc) *StoreClient {
 	dialStore := func(addr string) (net.Conn, error) { return dial("tcp", addr, storeDialTimeout) }
-	return &StoreClient{Address: address, client: newHTTPClient(dialStore), watchClient: newHTTPClient(dialStore)}
+	return &StoreClient{
+		Address: address,
+		client:  newHTTPClient(dialStore), watchClient: newHTTPClient(dialStore), confirmClient: newHTTPClient(dialStore),
+	}
 }
 
 func newHTTPClient(dial fasthttp.DialFunc) fasthttp.Client {
@@ -67,6 +80,9 @@
 	sent := c.Eras.Latest()
 	value, err := call.send(client, call.Wait+StoreTimeout, target)
 	era, isConfirmed := c.Eras.recordHeader(value, sent)
+	if !isConfirmed {
+		isConfirmed = c.confirm(era, value)
+	}
 	if !isConfirmed && !core.IsPlatform(err) {
 		return era, core.ErrEarlierEra.New("%s %s: no other response confirms era %d", call.Method, call.Path, era)
 	}
@@ -76,6 +92,23 @@
 	return era, err
 }
 
+// confirm makes a second call that may confirm the era that a header value names, and reports
+// whether the era is confirmed.
+func (c *StoreClient) confirm(era core.Era, value string) bool {
+	if c.ConfirmationPath != "" {
+		call := StoreCall{Operation: "get", Method: fasthttp.MethodGet, Address: c.Address, Path: c.ConfirmationPath, header: c.EraHeader}
+		if c.OnCall != nil {
+			c.OnCall(call.Operation)
+		}
+		second, _ := call.send(&c.confirmClient, confirmationTimeout, nil)
+		if c.Eras.recordConfirmation(era, second) {
+			return true
+		}
+	}
+	c.Eras.reportInvalid(value)
+	return false
+}
+
 // DoInEra makes a call that states a revision read in the given era. If the era has ended
 // before the call, no call is made; if it ended since, the response is not used. The error
 // is then of type core.ErrConflict, since the object must be read again.
--- a/entry/caller/era.go
+++ b/entry/caller/era.go
@@ -19,7 +19,7 @@
 
 	mu     sync.Mutex
 	latest core.Era
-	// unconfirmed is a later era than the next one that a single answer has named so far.
+	// unconfirmed is an era after the latest that a single answer has named so far.
 	unconfirmed core.Era
 	// invalid is the value last passed to OnInvalid.
 	invalid string
@@ -46,7 +46,8 @@
 
 // recordHeader records the era that the header of an answer names, and returns it. An answer
 // that names none counts as one of the era that was the latest when its call was sent. It
-// returns false if the era is not confirmed, so that the answer must not be used.
+// returns false if the era is not confirmed, so that the answer must not be used; call
+// recordConfirmation then, if another call can be made.
 func (t *EraTracker) recordHeader(value string, sent core.Era) (core.Era, bool) {
 	if value == "" {
 		return sent, true
@@ -57,20 +58,19 @@
 		return sent, true
 	}
 	if !t.confirm(era) {
-		t.reportInvalid(value)
 		return era, false
 	}
 	t.Record(era)
 	return era, true
 }
 
-// confirm reports whether an era may be taken for the store's. Eras rise by one, so a larger
-// step must be named by two answers: a single wrong one would make the host discard all that
-// follow.
+// confirm reports whether an era may be taken for the store's. A later one must be named by
+// two answers: a single wrong one, also the first of all, would make the host discard all
+// that follow.
 func (t *EraTracker) confirm(era core.Era) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.latest == 0 || era <= t.latest+1 {
+	if era <= t.latest {
 		t.unconfirmed = 0
 		return true
 	}
@@ -81,6 +81,18 @@
 	return false
 }
 
+// recordConfirmation records the header of the answer to a second call, made since an answer
+// named an era that was not confirmed. It reports whether the era is now confirmed.
+func (t *EraTracker) recordConfirmation(era core.Era, value string) bool {
+	if named, ok := parseEra(value); ok && named == era {
+		t.Record(era)
+		return true
+	}
+	latest := t.Latest()
+	_, _ = t.recordHeader(value, latest)
+	return t.Latest() >= era
+}
+
 // parseEra parses an era in a header. The store may count from 0, which core.Era has for
 // unnamed eras, so the result is higher by one.
 func parseEra(value string) (core.Era, bool) {
