Decide in one place whether an upstream may be used

Six functions of three files took part in the decision (isEligible, isReachable, hasReturned, isOpen, isEjected and a call of the pacer), each in a form of its own, and none of them could name its reason or say when it ends. Placer.closure now returns both, for each purpose: a health check or a prepared connection, an attempt, and an attempt that no upstream may get which the host lately could reach. The warm-up limit, which counts an attempt, stands beside it (admit). The share of connections stays in the pool of the exchanger, which alone knows which connections are open.

No change of behaviour: the tests of core/placer pass as they were.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -41,15 +41,15 @@
 	finding     string
 }
 
-// isClosed reports whether the upstream wants no requests from this host now.
-func (a *availability) isClosed(now time.Time) bool {
+// isPaused reports whether the upstream wants no requests from this host now.
+func (a *availability) isPaused(now time.Time) bool {
 	return now.Before(a.closedUntil)
 }
 
 // isReturning reports whether the time in which the upstream wanted no requests ended so
 // recently that this host still sends it fewer than usual.
 func (a *availability) isReturning(now time.Time) bool {
-	return !a.closedUntil.IsZero() && !a.isClosed(now) && now.Sub(a.closedUntil) < returnTime
+	return !a.closedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.closedUntil) < returnTime
 }
 
 // isLeaving reports whether the upstream drains, as the list or one of its responses says.
@@ -57,29 +57,15 @@
 	return u.Draining || u.saidLeaving
 }
 
-// hasReturned reports whether the upstream may get one more request as far as its stated
-// times go. The requests in flight at a returning upstream grow from one to its slots.
-func (u *upstream) hasReturned(now time.Time) bool {
-	if u.isClosed(now) {
-		return false
-	}
+// returnsAt returns when a returning upstream may get one more request while none of those
+// in flight ends, the zero time if the upstream is not returning. The requests in flight at
+// it grow from one to its slots.
+func (u *upstream) returnsAt(now time.Time) time.Time {
 	if !u.isReturning(now) {
-		return true
+		return time.Time{}
 	}
-	progress := now.Sub(u.closedUntil).Seconds() / returnTime.Seconds()
-	return u.inFlight < 1+int(progress*float64(u.slots()))
-}
-
-// isEligible reports whether the upstream may get requests at all: it does not drain and
-// its zone is not evacuated.
-func (p *Placer) isEligible(u *upstream) bool {
-	return !u.isLeaving() && !p.evacuated[u.Zone]
-}
-
-// isReachable reports whether this host may contact the upstream outside of requests, for a
-// health check or to prepare a connection.
-func (p *Placer) isReachable(u *upstream, now time.Time) bool {
-	return p.isEligible(u) && !u.isEjected(now) && !u.isClosed(now)
+	progress := float64(u.inFlight) / float64(u.slots())
+	return u.closedUntil.Add(time.Duration(min(progress, 1) * float64(returnTime)))
 }
 
 // RecordAvailability records what a health check said about the availability of an upstream.
@@ -117,7 +103,7 @@
 		return nil
 	}
 	isNew := said.IsLeaving && !u.saidLeaving
-	isNew = isNew || said.RetryAfter > 0 && !u.isClosed(now)
+	isNew = isNew || said.RetryAfter > 0 && !u.isPaused(now)
 	isNew = isNew || said.Finding != "" && said.Finding != u.finding
 	if said.IsLeaving && !u.saidLeaving {
 		u.saidLeaving = true
@@ -144,8 +130,10 @@
 		}
 		for _, u := range r.members {
 			isReturning = isReturning || u.isReturning(now) && !slices.Contains(query.Exclude, u.Name)
-			isAnyOpen = isAnyOpen || !u.isClosed(now)
-			if remaining := u.closedUntil.Sub(now); remaining > 0 && (opensIn == 0 || remaining < opensIn) {
+			reason, until := p.closure(u, toSendAnyway, now)
+			if reason != Paused {
+				isAnyOpen = true
+			} else if remaining := until.Sub(now); opensIn == 0 || remaining < opensIn {
 				opensIn = remaining
 			}
 		}
--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -58,9 +58,9 @@
 // rate limit or Retry-After allows this host no attempt now are left out. Ejected upstreams
 // are left out unless no other upstream may get the request.
 func (p *Placer) findCandidates(s *service, query Query, key uint64, now time.Time) candidateSet {
-	candidates := candidateSet{list: p.rankCandidates(s, query, key, now, func(u *upstream) bool { return !u.isEjected(now) })}
+	candidates := candidateSet{list: p.rankCandidates(s, query, key, toSend, now)}
 	if len(candidates.list) == 0 {
-		candidates.list = p.rankCandidates(s, query, key, now, func(*upstream) bool { return true })
+		candidates.list = p.rankCandidates(s, query, key, toSendAnyway, now)
 	}
 	candidates.minGain = time.Duration(spilloverGain * float64(s.serviceTime.valueOr(defaultServiceTime)))
 	mayMigrate := !candidates.anyServedKey() || p.migrations.isAllowed(now)
@@ -70,12 +70,11 @@
 	return candidates
 }
 
-// rankCandidates returns the candidates for the key among the upstreams that
-// isUsable accepts and whose rate limit allows an attempt: the first upstream of each of
+// rankCandidates returns the candidates for the key among the open upstreams: the first upstream of each of
 // the first regions in the key's order, or the first ones of a single region if no other
 // has such upstreams.
-func (p *Placer) rankCandidates(s *service, query Query, key uint64, now time.Time, isUsable func(*upstream) bool) []candidate {
-	regions, closed := p.usableByRegion(s, query, key, now, isUsable)
+func (p *Placer) rankCandidates(s *service, query Query, key uint64, use purpose, now time.Time) []candidate {
+	regions, closed := p.openByRegion(s, query, key, use, now)
 	n := 1
 	if len(regions) == 1 {
 		n = candidatesPerKey
@@ -95,29 +94,29 @@
 	return list
 }
 
-// usableByRegion returns the usable upstreams of the first regions in the key's order that
-// have any, and the upstreams that only their rate limit excludes.
-func (p *Placer) usableByRegion(
-	s *service, query Query, key uint64, now time.Time, isUsable func(*upstream) bool,
+// openByRegion returns the open upstreams of the first regions in the key's order that
+// have any, and the upstreams that asked for no request now.
+func (p *Placer) openByRegion(
+	s *service, query Query, key uint64, use purpose, now time.Time,
 ) (regions [][]*upstream, closed []*upstream) {
 	for _, r := range s.plan.regionOrder(key, p.Zone.Region, s.regions) {
 		if !query.allowsRegion(r.name) {
 			continue
 		}
-		usable := filter(r.members, func(u *upstream) bool {
-			if slices.Contains(query.Exclude, u.Name) || !isUsable(u) {
+		open := filter(r.members, func(u *upstream) bool {
+			if slices.Contains(query.Exclude, u.Name) {
 				return false
 			}
-			if !p.isOpen(u, now) {
+			reason, _ := p.closure(u, use, now)
+			if reason.isStated() {
 				closed = append(closed, u)
-				return false
 			}
-			return true
+			return reason == Open
 		})
-		if len(usable) == 0 {
+		if len(open) == 0 {
 			continue
 		}
-		if regions = append(regions, usable); len(regions) == candidatesPerKey {
+		if regions = append(regions, open); len(regions) == candidatesPerKey {
 			break
 		}
 	}
--- a/core/placer/cold.go
+++ b/core/placer/cold.go
@@ -24,7 +24,7 @@
 	var list []core.Upstream
 	for _, s := range p.services {
 		for _, u := range s.members {
-			isChecked := p.isReachable(u, now) && (isSmallFleet || now.Sub(u.lastThrottled) < throttledWindow)
+			isChecked := p.isContactable(u, now) && (isSmallFleet || now.Sub(u.lastThrottled) < throttledWindow)
 			if isChecked && !u.suspectedAt.IsZero() && u.isCold(s.policy.WarmUp, now) && !now.Before(u.suspectedAt) {
 				list = append(list, u.Upstream)
 			}
@@ -41,7 +41,7 @@
 	defer p.mu.Unlock()
 	var list []core.Upstream
 	for _, u := range p.upstreams {
-		if u.region == p.Zone.Region && p.isReachable(u, now) {
+		if u.region == p.Zone.Region && p.isContactable(u, now) {
 			list = append(list, u.Upstream)
 		}
 	}
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -111,19 +111,6 @@
 	return list
 }
 
-// isOpen reports whether the rate limit of the upstream and the times that it stated allow
-// this host an attempt now.
-func (p *Placer) isOpen(u *upstream, now time.Time) bool {
-	if !u.hasReturned(now) {
-		return false
-	}
-	if !u.limit.InForce {
-		return true
-	}
-	interval, ok := p.Pacer.Interval(u.Name, u.region, u.limit.Rate)
-	return ok && now.Sub(u.lastSentAt) >= interval
-}
-
 // limitInterval returns the shortest time between two attempts of this host that the rate
 // limit of the upstream allows, 0 if there is no limit.
 func (p *Placer) limitInterval(u *upstream) time.Duration {
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -84,6 +84,7 @@
 		s.members = s.members[:0]
 	}
 	for _, u := range p.upstreams {
+		u.excluded = p.exclusion(u)
 		s := p.services[u.Service]
 		if s == nil {
 			s = &service{}
@@ -95,16 +96,16 @@
 		s.members = append(s.members, u)
 	}
 	for _, s := range p.services {
-		s.regions = p.eligibleByRegion(s.members)
+		s.regions = eligibleByRegion(s.members)
 	}
 }
 
 // eligibleByRegion groups the members that are eligible for requests, neither
 // draining nor in an evacuated zone, by region.
-func (p *Placer) eligibleByRegion(members []*upstream) []*region {
+func eligibleByRegion(members []*upstream) []*region {
 	var regions []*region
 	for _, u := range members {
-		if !p.isEligible(u) {
+		if u.excluded != Open {
 			continue
 		}
 		i := slices.IndexFunc(regions, func(r *region) bool { return r.name == u.region })
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -197,8 +197,7 @@
 		i := candidates.cheapest(p.spillover.isAllowed(now))
 		c := candidates.list[i]
 		u := c.upstream
-		if u.isCold(s.policy.WarmUp, now) && !p.Pacer.Allow(u.Name, s.policy.WarmUpRate, u.sentLastSecond(now), now) {
-			u.lastThrottled, p.lastThrottled = now, now
+		if p.admit(u, s, now) != Open {
 			candidates.list = append(candidates.list[:i], candidates.list[i+1:]...)
 			continue
 		}
@@ -258,7 +257,7 @@
 		}
 		includesAll := isSmallFleet && s.plan.localShare < 1
 		for _, u := range s.members {
-			if u.region == p.Zone.Region || !p.isReachable(u, now) {
+			if u.region == p.Zone.Region || !p.isContactable(u, now) {
 				continue
 			}
 			if includesAll || u.usage.valueAt(now) >= frequentUseThreshold {
--- a/core/placer/plan.go
+++ b/core/placer/plan.go
@@ -172,7 +172,7 @@
 func (p *Placer) fairLocalShare(s *service) float64 {
 	var localSlots, allSlots int
 	for _, u := range s.members {
-		if !p.isEligible(u) {
+		if u.excluded != Open {
 			continue
 		}
 		allSlots += u.slots()
@@ -199,7 +199,7 @@
 func (p *Placer) utilizations(s *service, now time.Time) (local, remote float64) {
 	var localSlots, remoteSlots float64
 	for _, u := range s.members {
-		if !p.isReachable(u, now) {
+		if !p.isContactable(u, now) {
 			continue
 		}
 		if u.region == p.Zone.Region {
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -37,7 +37,10 @@
 type upstream struct {
 	core.Upstream
 	availability
-	region core.RegionName
+	// excluded is Draining or Evacuated while this keeps everything from the upstream,
+	// otherwise Open. It is kept up to date while the upstream is listed.
+	excluded Closure
+	region   core.RegionName
 	// hash is the hash of the name, for rendezvous hashing.
 	hash uint64
 	// coldUntil is the end of a warm-up that the upstream or another host announced.
