Explain the pauses that upstreams ask for

Cause: a host logged only that an upstream asked for a pause. When it ended, how much work it kept away, and which requests went elsewhere because of it could not be read anywhere, and a refused request did not name the upstream that it waited for.

Change: event 519 at the end of a pause with its length, the attempts moved and the requests refused; moved-from and moved-by in the lines 503, 504 and 511; the upstream whose pause ends first in the detail of a refusal; a gauge of pauses in force, a counter of pauses learnt, and a cause for moved attempts. Choice.IsMoved gives way to the upstream and the reason.

Evidence: TestPauseIsExplained, TestPauseAfterPause and TestPauseIsLogged need the new names and do not build on the code before.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -39,6 +39,25 @@
 	// from this host. A later statement of a shorter time does not bring it forward.
 	closedUntil time.Time
 	finding     string
+	// pausedSince is when the time that closedUntil ends began; zero once its end was
+	// recorded. pauseUse is what it kept away from the upstream.
+	pausedSince time.Time
+	pauseUse    pauseUse
+}
+
+// pauseUse counts what a pause of an upstream kept away from it.
+type pauseUse struct {
+	moved, refused int
+}
+
+// EndedPause is a time for which an upstream wanted no requests from this host and which is
+// over.
+type EndedPause struct {
+	Upstream core.Upstream
+	Length   time.Duration
+	// Moved counts the attempts that went to another upstream because of it, and Refused the
+	// requests that found all upstreams in a pause, this one with the next end.
+	Moved, Refused int
 }
 
 // isPaused reports whether the upstream wants no requests from this host now.
@@ -110,6 +129,10 @@
 		p.groupByService()
 	}
 	if said.RetryAfter > 0 {
+		p.endPause(u, now)
+		if u.pausedSince.IsZero() {
+			u.pausedSince = now
+		}
 		u.closedUntil = later(u.closedUntil, now.Add(said.RetryAfter))
 	}
 	u.finding = said.Finding
@@ -119,11 +142,50 @@
 	return &AvailabilityChange{Upstream: u.Upstream, Availability: said}
 }
 
-// reopening returns the time until the first upstream wants requests again, if all that may
-// get the request want none now, otherwise 0. It also reports whether one that was not tried
-// is returning, so that it may soon take one more request.
-func (p *Placer) reopening(s *service, query Query, now time.Time) (opensIn time.Duration, isReturning bool) {
+// endPause records the end of the upstream's pause, if there was one and it is over.
+func (p *Placer) endPause(u *upstream, now time.Time) {
+	if u.pausedSince.IsZero() || u.isPaused(now) {
+		return
+	}
+	p.endedPauses = append(p.endedPauses, EndedPause{
+		Upstream: u.Upstream, Length: u.closedUntil.Sub(u.pausedSince), Moved: u.pauseUse.moved, Refused: u.pauseUse.refused,
+	})
+	u.pausedSince, u.pauseUse = time.Time{}, pauseUse{}
+}
+
+// TakeEndedPauses returns the pauses that have ended since the last call. A pause that ends
+// because the upstream is replaced by its next incarnation is left out.
+func (p *Placer) TakeEndedPauses(now time.Time) []EndedPause {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for u := range p.allIncarnations() {
+		p.endPause(u, now)
+	}
+	ended := p.endedPauses
+	p.endedPauses = nil
+	return ended
+}
+
+// PausedUpstreams returns the number of listed upstreams that want no requests from this host
+// now.
+func (p *Placer) PausedUpstreams(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, u := range p.upstreams {
+		if u.isPaused(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// reopening returns the upstream that wants requests again first and the time until then, if
+// all that may get the request want none now, otherwise an empty name and 0. It also reports
+// whether one that was not tried is returning, so that it may soon take one more request.
+func (p *Placer) reopening(s *service, query Query, now time.Time) (first core.UpstreamName, opensIn time.Duration, isReturning bool) {
 	isAnyOpen := false
+	var next *upstream
 	for _, r := range s.regions {
 		if !query.allowsRegion(r.name) {
 			continue
@@ -134,12 +196,13 @@
 			if reason != Paused {
 				isAnyOpen = true
 			} else if remaining := until.Sub(now); opensIn == 0 || remaining < opensIn {
-				opensIn = remaining
+				next, opensIn = u, remaining
 			}
 		}
 	}
-	if isAnyOpen {
-		return 0, isReturning
+	if isAnyOpen || next == nil {
+		return "", 0, isReturning
 	}
-	return opensIn, isReturning
+	next.pauseUse.refused++
+	return next.Name, opensIn, isReturning
 }
--- /dev/null
+++ b/core/placer/closure_test.go
@@ -0,0 +1,54 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/endiverun/endiverun/core/placer"
+)
+
+// TestPauseIsExplained guards against an attempt that goes elsewhere, or a request that is
+// refused, without a word of the pause that caused it, and against a pause whose end nobody
+// learns of.
+func TestPauseIsExplained(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(2, "slz-a"))
+	first, ok := p.Choose(query("key"), start)
+	is.True(ok)
+	is.Equal(first.MovedBy, placer.Open)
+	name := first.Upstream.Name
+	say(p, first, placer.Availability{RetryAfter: 3 * time.Second}, start)
+	is.Equal(p.PausedUpstreams(start), 1)
+
+	second, ok := p.Choose(query("key"), start.Add(time.Second))
+	is.True(ok)
+	is.Equal(second.MovedFrom, name)
+	is.Equal(second.MovedBy, placer.Paused)
+	is.Equal(second.MovedBy.String(), "paused")
+	say(p, second, placer.Availability{RetryAfter: 3 * time.Second}, start.Add(time.Second))
+	refused, ok := p.Choose(query("key"), start.Add(2*time.Second))
+	is.True(!ok)
+	is.Equal(refused.ReopensFirst, name)
+
+	is.Equal(len(p.TakeEndedPauses(start.Add(2*time.Second))), 0)
+	ended := p.TakeEndedPauses(start.Add(3 * time.Second))
+	is.Equal(ended, []placer.EndedPause{{Upstream: first.Upstream, Length: 3 * time.Second, Moved: 1, Refused: 1}})
+	is.Equal(len(p.TakeEndedPauses(start.Add(3*time.Second))), 0)
+}
+
+// TestPauseAfterPause guards against a pause whose end is lost because the next one began
+// before the end was recorded.
+func TestPauseAfterPause(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	now := start
+	for range 2 {
+		choice, ok := p.Choose(query("key"), now)
+		is.True(ok)
+		say(p, choice, placer.Availability{RetryAfter: time.Second}, now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(len(p.TakeEndedPauses(now)), 2)
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -78,6 +78,8 @@
 	use pacer.Use
 	// shortUntil is until when the host is short of shares in rate limits.
 	shortUntil time.Time
+	// endedPauses holds the pauses that ended since the last call of TakeEndedPauses.
+	endedPauses []EndedPause
 	// lastNotice is the upstream of the last notice in the rotation of RateLimitNotices.
 	lastNotice core.UpstreamName
 	// roundTrips holds the measured round-trip time to each region.
@@ -142,11 +144,14 @@
 	// ReopensIn is set, when no upstream was selected, if all want no requests for a time
 	// that they stated. It is the time until the first of them takes requests again.
 	ReopensIn time.Duration
+	// ReopensFirst is that upstream.
+	ReopensFirst core.UpstreamName
 	// Room is set if rate limits prevented the selection.
 	Room *Room
-	// IsMoved reports that the attempt goes to another upstream because of a rate limit or
-	// of a Retry-After of the first one.
-	IsMoved bool
+	// MovedFrom is the upstream that would have got the attempt, if its rate limit or its
+	// pause kept the attempt away, and MovedBy which of them; otherwise empty and Open.
+	MovedFrom core.UpstreamName
+	MovedBy   Closure
 
 	// Limit is the rate limit of the upstream that was known when it was selected, and
 	// LimitInterval the shortest time between two attempts of this host that it allows.
@@ -185,8 +190,10 @@
 	if len(candidates.list) == 0 {
 		room := p.room(s, query, now)
 		p.recordShortage(room, now)
-		opensIn, isReturning := p.reopening(s, query, now)
-		return Choice{IsThrottled: isReturning || room != nil && room.Rate > 0, Room: room, ReopensIn: opensIn}, false
+		first, opensIn, isReturning := p.reopening(s, query, now)
+		return Choice{
+			IsThrottled: isReturning || room != nil && room.Rate > 0, Room: room, ReopensIn: opensIn, ReopensFirst: first,
+		}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
@@ -209,15 +216,14 @@
 		if u.limit.InForce {
 			p.use.Sent++
 		}
-		if c.replaces != nil {
-			c.replaces.limitUse.moved++
-		}
+		movedFrom, movedBy := p.recordMove(c, now)
 		return Choice{
 			Upstream:  u.Upstream,
 			Region:    u.region,
 			RoundTrip: p.roundTrip(u.region),
 			QueueTime: c.queueTime,
-			IsMoved:   c.replaces != nil,
+			MovedFrom: movedFrom,
+			MovedBy:   movedBy,
 
 			Limit:         u.limit,
 			LimitInterval: interval,
@@ -231,6 +237,20 @@
 	return Choice{IsThrottled: true}, false
 }
 
+// recordMove counts that a candidate replaces another upstream, and returns that upstream and
+// what keeps the attempt from it.
+func (p *Placer) recordMove(c candidate, now time.Time) (core.UpstreamName, Closure) {
+	if c.replaces == nil {
+		return "", Open
+	}
+	reason, _ := p.closure(c.replaces, toSendAnyway, now)
+	c.replaces.limitUse.moved++
+	if reason == Paused {
+		c.replaces.pauseUse.moved++
+	}
+	return c.replaces.Name, reason
+}
+
 const (
 	// frequentUseThreshold is the decaying request count from which the next
 	// request is likely to come while an idle connection is still kept open.
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -11,6 +11,7 @@
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/logger"
+	"github.com/endiverun/endiverun/entry/meter"
 	"github.com/endiverun/endiverun/entry/waiter"
 )
 
@@ -85,6 +86,7 @@
 		line(logger.UpstreamSaidLeaving).Send()
 	}
 	if said.RetryAfter > 0 {
+		c.Meter.Count(meter.Pauses, meter.Labels{Service: string(change.Upstream.Service), Zone: string(change.Upstream.Zone)})
 		line(logger.UpstreamClosed).Dur("for", said.RetryAfter).Send()
 	}
 	if said.Finding != "" {
@@ -92,6 +94,15 @@
 	}
 }
 
+// reportEndedPauses logs the times for which upstreams wanted no requests and which are over.
+func (c *Controller) reportEndedPauses(now time.Time) {
+	for _, pause := range c.placer.TakeEndedPauses(now) {
+		c.Log.Event(logger.UpstreamReopened).
+			Str("upstream", string(pause.Upstream.Name)).Str("service", string(pause.Upstream.Service)).
+			Dur("after", pause.Length).Int("moved", pause.Moved).Int("refused", pause.Refused).Send()
+	}
+}
+
 // reportLimitUse logs, until ctx ends, what this host sent to upstreams that have a rate
 // limit.
 func (c *Controller) reportLimitUse(ctx context.Context) {
--- a/entry/controller/limits_test.go
+++ b/entry/controller/limits_test.go
@@ -147,3 +147,27 @@
 	busy.handleHeartbeat(heartbeat)
 	is.True(strings.Contains(log.String(), `"name":"peer-rejected"`))
 }
+
+// TestPauseIsLogged guards against a pause of an upstream whose beginning, end or reason the
+// log does not tell.
+func TestPauseIsLogged(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	c := newController("host-1", upstream)
+	var log strings.Builder
+	c.Log = logger.New(&log, "info", core.Host{Name: "host-1"})
+	now := time.Now()
+	choice, ok := c.placer.Choose(placer.Query{Service: "desk", Key: "k"}, now)
+	is.True(ok)
+	c.placer.Report(choice, placer.Report{Outcome: placer.Shed, Availability: placer.Availability{RetryAfter: 2 * time.Second}}, now)
+	is.True(strings.Contains(log.String(), `"name":"upstream-closed"`))
+	is.True(strings.Contains(log.String(), `"for":2000`))
+	c.reportEndedPauses(now.Add(time.Second))
+	is.True(!strings.Contains(log.String(), `"name":"upstream-reopened"`))
+	c.reportEndedPauses(now.Add(2 * time.Second))
+	is.Equal(strings.Count(log.String(), `"name":"upstream-reopened"`), 1)
+	is.True(strings.Contains(log.String(), `"after":2000,"moved":0,"refused":0`))
+
+	c.recordFailure(forwarder.Event{RequestID: "q-1", MovedFrom: "u-1", MovedBy: placer.Paused})
+	is.True(strings.Contains(log.String(), `"moved-from":"u-1","moved-by":"paused"`))
+}
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/meter"
@@ -29,6 +30,7 @@
 		"upstreams":         func() float64 { return float64(c.upstreamCount()) },
 		"evacuated_zones":   func() float64 { return float64(c.evacuatedZoneCount()) },
 		"limited_upstreams": func() float64 { return float64(c.placer.LimitedUpstreams()) },
+		"paused_upstreams":  func() float64 { return float64(c.placer.PausedUpstreams(time.Now())) },
 		"lent_share":        c.lentShare,
 		"sharing_hosts":     func() float64 { return float64(c.sharingHosts.Load()) },
 		"log_lines_lost":    func() float64 { return float64(c.Log.DroppedLines()) },
@@ -71,8 +73,8 @@
 	if e.Limit.InForce {
 		c.Meter.Count(meter.LimitedAttempts, meter.Labels{Service: labels.Service, Zone: labels.Zone, Cause: attemptCause(e.Attempt.IsRepeat)})
 	}
-	if e.Attempt.IsMoved {
-		c.Meter.Count(meter.LimitedMoves, meter.Labels{Service: labels.Service, Zone: labels.Zone})
+	if e.MovedBy != placer.Open {
+		c.Meter.Count(meter.LimitedMoves, meter.Labels{Service: labels.Service, Zone: labels.Zone, Cause: e.MovedBy.String()})
 	}
 	labels.Outcome = e.Attempt.Outcome.String()
 	c.Meter.Count(meter.Attempts, labels)
@@ -134,7 +136,12 @@
 
 // addLimit adds the rate limit of the last upstream of a request to a line, if it has one:
 // the limit, its age, the host that told of it, and the interval of this host's share.
+//
+// It also adds the upstream that the rate limit or a pause kept the last attempt from.
 func addLimit(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
+	if e.MovedBy != placer.Open {
+		line = line.Str("moved-from", string(e.MovedFrom)).Stringer("moved-by", e.MovedBy)
+	}
 	if !e.Limit.InForce {
 		return line
 	}
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -127,6 +127,7 @@
 		c.exchanger.CloseExpiredConnections(now)
 		c.divideSharedLimits(now)
 		c.placer.ForgetOldLimits(now)
+		c.reportEndedPauses(now)
 		c.fetchFromPeers(now)
 	})
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -76,6 +76,10 @@
 	// LimitInterval the shortest time between two attempts of this host that it allows.
 	Limit         placer.KnownLimit
 	LimitInterval time.Duration
+	// MovedFrom is the upstream that would have got the last attempt, if its rate limit or its
+	// pause kept the attempt away, and MovedBy which of them.
+	MovedFrom core.UpstreamName
+	MovedBy   placer.Closure
 	// Status is the HTTP status code sent to the client.
 	Status int
 	// Duration is the time since the request arrived.
@@ -92,9 +96,8 @@
 	// ResponseTime is the time from sending the request to its response. QueueTime is an
 	// estimate: the time for which the attempt was expected to queue at the upstream.
 	ResponseTime, QueueTime time.Duration
-	// IsMoved says that the rate limit of another upstream sent the attempt to this one, and
-	// IsRepeat that the attempt followed another one of the same request.
-	IsMoved, IsRepeat bool
+	// IsRepeat says that the attempt followed another one of the same request.
+	IsRepeat bool
 }
 
 // Forwarder is an HTTP server that forwards client requests to upstreams.
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -67,6 +67,8 @@
 	// reopensIn is the time until the first upstream takes requests again, if none does now
 	// since they asked for a pause, otherwise 0.
 	reopensIn time.Duration
+	// reopensFirst is that upstream.
+	reopensFirst core.UpstreamName
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -157,12 +159,13 @@
 	}
 	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
-	r.room, r.reopensIn = choice.Room, choice.ReopensIn
+	r.room, r.reopensIn, r.reopensFirst = choice.Room, choice.ReopensIn, choice.ReopensFirst
 	if !ok {
 		r.event.Detail = "no upstream is available"
 		return choice, false
 	}
 	r.queueWait = choice.QueueTime
+	r.event.MovedFrom, r.event.MovedBy = choice.MovedFrom, choice.MovedBy
 	// The request may have been held until the host no longer accepts connections.
 	if r.isRefusedByStop(now) {
 		r.forwarder.Placer.Release(choice)
@@ -231,7 +234,6 @@
 		Outcome:      report.Outcome,
 		ResponseTime: report.ResponseTime,
 		QueueTime:    choice.QueueTime,
-		IsMoved:      choice.IsMoved,
 		IsRepeat:     len(r.tried) > 1,
 	}
 	notify(r.forwarder.OnAttempt, event)
@@ -372,7 +374,8 @@
 // refuseUntilReopening responds to a request whose upstreams all want no requests for some
 // time. The client may return when the first of them takes requests again.
 func (r *requestState) refuseUntilReopening() {
-	r.event.Detail = fmt.Sprintf("the upstreams want no requests, the first for %d ms more", r.reopensIn.Milliseconds())
+	r.event.Detail = fmt.Sprintf("all upstreams want no requests, %s for %d ms more, the others for longer",
+		r.reopensFirst, r.reopensIn.Milliseconds())
 	// The jitter may shorten the time by a quarter.
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "upstreams-closed", r.reopensIn+r.reopensIn/3)
 }
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -109,6 +109,8 @@
 
 	UpstreamPauseUnreadable = Event{517, "upstream-pause-unreadable", zerolog.WarnLevel, "An upstream stated an invalid Retry-After."}
 
+	UpstreamReopened = Event{519, "upstream-reopened", zerolog.InfoLevel, "The time for which an upstream wanted no requests is over."}
+
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
 	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "A policy entry is invalid; the other entries apply."}
@@ -132,7 +134,7 @@
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
-	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable,
+	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamReopened,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -48,9 +48,11 @@
 	// LimitedAttempts counts attempts at upstreams that had named a rate limit, by service,
 	// zone and cause: "first" or "repeat".
 	LimitedAttempts Metric = "limited_attempts"
-	// LimitedMoves counts attempts that a rate limit sent to another upstream, by service and
-	// the zone of that other upstream.
+	// LimitedMoves counts attempts that a rate limit or a pause sent to another upstream, by
+	// service, the zone of that other upstream, and cause (placer.Closure).
 	LimitedMoves Metric = "limited_moves"
+	// Pauses counts the times for which an upstream wanted no requests, by service and zone.
+	Pauses Metric = "upstream_pauses"
 	// Retries counts retries by service.
 	Retries Metric = "retries"
 	// StoreCalls counts calls to the platform's store by kind of call.
