Tell clients the right time and reason while upstreams are in a pause

Cause: limits and pauses were looked at by two functions, of which neither knew of the other. A paused upstream that also names a rate limit counted as room: clients were told to return at the rate of an upstream that takes nothing, and if all upstreams were in a pause the refusal blamed rate limits and named the wrong time. Times of return lay within a third of the pause, so that after a short one all clients came back together. While requests returned gradually, those that waited were held for 0.9 s in vain and then told to come back in 50 ms.

Change: Placer.room covers limits, pauses and the return after them in one pass and says which of them it is; one schedule gives out the times of return for all. After a pause clients return from its end on at the part of the upstreams' rate that falls to this host, at most over 5 s.

TestAllUpstreamsClosed and TestPauseOfOneUpstream read the same times from Choice.Room, which replaces Choice.ReopensIn; the latter now requires that there is no room at all.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -152,6 +152,13 @@
 	return 0
 }
 
+// HostCount returns the number of hosts, at least 1.
+func (p *Pacer) HostCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.hosts), 1)
+}
+
 // rank returns the number of hosts with a higher rendezvous weight for the
 // upstream than this host.
 func (p *Pacer) rank(upstream core.UpstreamName) int {
--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -1,15 +1,16 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
 )
 
-// returnTime is how long after the end of the time that an upstream stated its requests
-// grow to their usual number.
-const returnTime = 2 * time.Second
+const (
+	// returnTime is how long after its return the requests of a host grow to their usual
+	// number.
+	returnTime = 2 * time.Second
+)
 
 // Availability is what a response says about the requests that its upstream takes from now
 // on.
@@ -38,7 +39,9 @@
 	// closedUntil is the latest end of the times for which the upstream wanted no requests
 	// from this host. A later statement of a shorter time does not bring it forward.
 	closedUntil time.Time
-	finding     string
+	// reopensAt is when this host returns after that time.
+	reopensAt time.Time
+	finding   string
 	// pausedSince is when the time that closedUntil ends began; zero once its end was
 	// recorded. pauseUse is what it kept away from the upstream.
 	pausedSince time.Time
@@ -68,7 +71,7 @@
 // isReturning reports whether the time in which the upstream wanted no requests ended so
 // recently that this host still sends it fewer than usual.
 func (a *availability) isReturning(now time.Time) bool {
-	return !a.closedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.closedUntil) < returnTime
+	return !a.closedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.reopensAt) < returnTime
 }
 
 // isLeaving reports whether the upstream drains, as the list or one of its responses says.
@@ -83,8 +86,11 @@
 	if !u.isReturning(now) {
 		return time.Time{}
 	}
+	if now.Before(u.reopensAt) {
+		return u.reopensAt
+	}
 	progress := float64(u.inFlight) / float64(u.slots())
-	return u.closedUntil.Add(time.Duration(min(progress, 1) * float64(returnTime)))
+	return u.reopensAt.Add(time.Duration(min(progress, 1) * float64(returnTime)))
 }
 
 // RecordAvailability records what a health check said about the availability of an upstream.
@@ -134,6 +140,7 @@
 			u.pausedSince = now
 		}
 		u.closedUntil = later(u.closedUntil, now.Add(said.RetryAfter))
+		u.reopensAt = u.closedUntil
 	}
 	u.finding = said.Finding
 	if !isNew {
@@ -179,30 +186,3 @@
 	}
 	return n
 }
-
-// reopening returns the upstream that wants requests again first and the time until then, if
-// all that may get the request want none now, otherwise an empty name and 0. It also reports
-// whether one that was not tried is returning, so that it may soon take one more request.
-func (p *Placer) reopening(s *service, query Query, now time.Time) (first core.UpstreamName, opensIn time.Duration, isReturning bool) {
-	isAnyOpen := false
-	var next *upstream
-	for _, r := range s.regions {
-		if !query.allowsRegion(r.name) {
-			continue
-		}
-		for _, u := range r.members {
-			isReturning = isReturning || u.isReturning(now) && !slices.Contains(query.Exclude, u.Name)
-			reason, until := p.closure(u, toSendAnyway, now)
-			if reason != Paused {
-				isAnyOpen = true
-			} else if remaining := until.Sub(now); opensIn == 0 || remaining < opensIn {
-				next, opensIn = u, remaining
-			}
-		}
-	}
-	if isAnyOpen || next == nil {
-		return "", 0, isReturning
-	}
-	next.pauseUse.refused++
-	return next.Name, opensIn, isReturning
-}
--- a/core/placer/availability_test.go
+++ b/core/placer/availability_test.go
@@ -141,7 +141,8 @@
 	choice, ok := p.Choose(query("key"), start.Add(2*time.Second))
 	is.True(!ok)
 	is.True(!choice.IsThrottled)
-	is.Equal(choice.ReopensIn, 3*time.Second)
+	is.Equal(choice.Room.Reason, placer.Paused)
+	is.Equal(choice.Room.OpensIn, 3*time.Second)
 }
 
 // TestAvailabilityIsKept checks on generated histories of responses, lists and restarts that
@@ -205,5 +206,5 @@
 	}
 	choice, ok := p.Choose(tried, start)
 	is.True(!ok)
-	is.Equal(choice.ReopensIn, time.Duration(0))
+	is.True(choice.Room == nil)
 }
--- a/core/placer/closure_test.go
+++ b/core/placer/closure_test.go
@@ -30,7 +30,7 @@
 	say(p, second, placer.Availability{RetryAfter: 3 * time.Second}, start.Add(time.Second))
 	refused, ok := p.Choose(query("key"), start.Add(2*time.Second))
 	is.True(!ok)
-	is.Equal(refused.ReopensFirst, name)
+	is.Equal(refused.Room.Next, name)
 
 	is.Equal(len(p.TakeEndedPauses(start.Add(2*time.Second))), 0)
 	ended := p.TakeEndedPauses(start.Add(3 * time.Second))
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
@@ -121,50 +120,6 @@
 	return interval
 }
 
-// Room is what the rate limits of upstreams leave to this host.
-type Room struct {
-	// OpensIn is the time until the first upstream may get an attempt.
-	OpensIn time.Duration
-	// Rate is the number of attempts a second that this host may make at all of them
-	// together, 0 if others may and this host may not.
-	Rate core.RequestRate
-}
-
-// Wait returns the time after which a request may be sent while a number of others wait.
-func (r *Room) Wait(others int) time.Duration {
-	if r.Rate <= 0 {
-		return maxOpensIn
-	}
-	return min(r.OpensIn+time.Duration(float64(others)/float64(r.Rate)*float64(time.Second)), maxOpensIn)
-}
-
-// maxOpensIn is the longest result of Wait.
-const maxOpensIn = time.Minute
-
-// room returns what rate limits leave for a request that no upstream may get now, nil if
-// no upstream that could serve the request has a rate limit.
-func (p *Placer) room(s *service, query Query, now time.Time) *Room {
-	var room *Room
-	for _, r := range s.regions {
-		if !query.allowsRegion(r.name) {
-			continue
-		}
-		for _, u := range r.members {
-			if !u.limit.InForce || slices.Contains(query.Exclude, u.Name) {
-				continue
-			}
-			if room == nil {
-				room = &Room{OpensIn: maxOpensIn}
-			}
-			if interval, ok := p.Pacer.Interval(u.Name, u.region, u.limit.Rate); ok {
-				room.OpensIn = min(room.OpensIn, max(u.lastSentAt.Add(interval).Sub(now), u.closedUntil.Sub(now), 0))
-				room.Rate += core.RequestRate(1 / interval.Seconds())
-			}
-		}
-	}
-	return room
-}
-
 // recordShortage records that the host is short of shares until the time at which an
 // upstream opens for a request, which may be held until then.
 func (p *Placer) recordShortage(room *Room, now time.Time) {
@@ -172,7 +127,7 @@
 		shortest = 250 * time.Millisecond // the interval of TakeUse
 		longest  = time.Second
 	)
-	if room != nil {
+	if room != nil && room.Reason == RateLimited {
 		p.shortUntil = later(p.shortUntil, now.Add(min(max(room.OpensIn, shortest), longest)))
 	}
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -141,12 +141,7 @@
 	// cold or returning upstreams or rate limits prevented it, so that another call of
 	// Choose may soon succeed.
 	IsThrottled bool
-	// ReopensIn is set, when no upstream was selected, if all want no requests for a time
-	// that they stated. It is the time until the first of them takes requests again.
-	ReopensIn time.Duration
-	// ReopensFirst is that upstream.
-	ReopensFirst core.UpstreamName
-	// Room is set if rate limits prevented the selection.
+	// Room is set if what upstreams asked for prevented the selection.
 	Room *Room
 	// MovedFrom is the upstream that would have got the attempt, if its rate limit or its
 	// pause kept the attempt away, and MovedBy which of them; otherwise empty and Open.
@@ -190,10 +185,7 @@
 	if len(candidates.list) == 0 {
 		room := p.room(s, query, now)
 		p.recordShortage(room, now)
-		first, opensIn, isReturning := p.reopening(s, query, now)
-		return Choice{
-			IsThrottled: isReturning || room != nil && room.Rate > 0, Room: room, ReopensIn: opensIn, ReopensFirst: first,
-		}, false
+		return Choice{IsThrottled: room != nil && room.Reason != Paused && room.Rate > 0, Room: room}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -289,12 +289,17 @@
 	notify(f.OnFailure, event)
 }
 
-// respondUnavailable responds with 503 and Retry-After to a request that was not
-// executed.
+// respondUnavailable responds with 503 and a Retry-After of about the given time to a request
+// that was not executed.
 func (f *Forwarder) respondUnavailable(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
+	f.respondUnavailableFor(ctx, event, cause, withJitter(retryAfter))
+}
+
+// respondUnavailableFor is respondUnavailable with an exact Retry-After.
+func (f *Forwarder) respondUnavailableFor(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
 	event.Cause = cause
 	event.Status = fasthttp.StatusServiceUnavailable
-	seconds := strconv.FormatFloat(withJitter(retryAfter).Seconds(), 'f', 3, 64)
+	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	notify(f.OnFailure, event)
--- a/entry/forwarder/returns.go
+++ b/entry/forwarder/returns.go
@@ -10,7 +10,7 @@
 )
 
 // maxScheduledReturn is the longest Retry-After time of a request that rate limits of
-// upstreams prevented.
+// upstreams prevented. After the pauses of upstreams clients return for so long.
 const maxScheduledReturn = 5 * time.Second
 
 // returnSchedule assigns the times at which refused clients come back, so that they
@@ -21,21 +21,25 @@
 	next map[core.ServiceName]time.Time
 }
 
-// assign returns the Retry-After time of one client whose request rate limits prevented
-// while a number of others wait. Beyond maxScheduledReturn, and if this host may send
-// none, it spreads the clients at random.
+// assign returns the Retry-After time of one client whose request rate limits or pauses
+// prevented while a number of others wait. Beyond maxScheduledReturn, and if this host may send
+// none, it spreads the clients at random. After pauses, both begin with the end of the first.
 func (s *returnSchedule) assign(service core.ServiceName, room placer.Room, others int, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if room.Rate <= 0 {
 		return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) //nolint:gosec // Not used for security.
 	}
-	at := now.Add(max(room.Wait(others), minRetryAfter))
+	earliest, spreadFrom, latest := minRetryAfter, maxRetryAfter, maxScheduledReturn
+	if room.Reason == placer.Paused {
+		earliest, spreadFrom, latest = max(earliest, room.OpensIn), room.OpensIn, room.OpensIn+maxScheduledReturn
+	}
+	at := now.Add(max(room.Wait(others), earliest))
 	if next := s.next[service]; next.After(at) {
 		at = next
 	}
-	if at.Sub(now) > maxScheduledReturn {
-		return maxRetryAfter + rand.N(maxScheduledReturn-maxRetryAfter) //nolint:gosec // Not used for security.
+	if at.Sub(now) > latest {
+		return spreadFrom + rand.N(latest-spreadFrom) //nolint:gosec // Not used for security.
 	}
 	if s.next == nil {
 		s.next = map[core.ServiceName]time.Time{}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -62,13 +62,9 @@
 	delivered int
 	// queueWait is the expected queueing time at the upstream chosen last.
 	queueWait time.Duration
-	// room is what rate limits left for the last attempt if they prevented it, otherwise nil.
+	// room is what upstreams left for the last attempt if rate limits or pauses prevented it,
+	// otherwise nil.
 	room *placer.Room
-	// reopensIn is the time until the first upstream takes requests again, if none does now
-	// since they asked for a pause, otherwise 0.
-	reopensIn time.Duration
-	// reopensFirst is that upstream.
-	reopensFirst core.UpstreamName
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -159,7 +155,7 @@
 	}
 	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
-	r.room, r.reopensIn, r.reopensFirst = choice.Room, choice.ReopensIn, choice.ReopensFirst
+	r.room = choice.Room
 	if !ok {
 		r.event.Detail = "no upstream is available"
 		return choice, false
@@ -351,33 +347,36 @@
 		return
 	}
 	if r.room != nil {
-		r.refuseByLimit(time.Now())
-		return
-	}
-	if r.reopensIn > 0 {
-		r.refuseUntilReopening()
+		r.refuseForRoom(time.Now())
 		return
 	}
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-room", min(max(r.queueWait/2, minRetryAfter), maxRetryAfter))
 }
 
-// refuseByLimit responds to a request that the rate limits of all upstreams prevent.
-func (r *requestState) refuseByLimit(now time.Time) {
+// refuseForRoom responds to a request that the rate limits or the pauses of all upstreams
+// prevent. Clients return when there will be room, one after the other.
+func (r *requestState) refuseForRoom(now time.Time) {
 	held := r.forwarder.held.count(r.service)
-	r.event.Detail = fmt.Sprintf(
-		"all upstreams are at their rate limits: this host may send %.3g requests a second, the next in %d ms, and holds %d",
-		float64(r.room.Rate), r.room.OpensIn.Milliseconds(), held)
+	cause := "upstreams-closed"
+	switch r.room.Reason {
+	case placer.Paused:
+		r.event.Detail = fmt.Sprintf("all upstreams want no requests, %s for %d ms more, the others for longer",
+			r.room.Next, r.room.OpensIn.Milliseconds())
+	case placer.Returning:
+		r.event.Detail = fmt.Sprintf("requests return to upstreams after pauses, first to %s, and the host holds %d", r.room.Next, held)
+	default:
+		cause = "rate-limit"
+		r.event.Detail = fmt.Sprintf(
+			"all upstreams are at their rate limits: this host may send %.3g requests a second, the next in %d ms, and holds %d",
+			float64(r.room.Rate), r.room.OpensIn.Milliseconds(), held)
+	}
 	retryAfter := r.forwarder.returns.assign(r.service, *r.room, held, now)
-	r.forwarder.respondUnavailable(r.requestCtx, r.event, "rate-limit", retryAfter)
-}
-
-// refuseUntilReopening responds to a request whose upstreams all want no requests for some
-// time. The client may return when the first of them takes requests again.
-func (r *requestState) refuseUntilReopening() {
-	r.event.Detail = fmt.Sprintf("all upstreams want no requests, %s for %d ms more, the others for longer",
-		r.reopensFirst, r.reopensIn.Milliseconds())
-	// The jitter may shorten the time by a quarter.
-	r.forwarder.respondUnavailable(r.requestCtx, r.event, "upstreams-closed", r.reopensIn+r.reopensIn/3)
+	if r.room.Reason == placer.Paused {
+		// Before the end of the pause the client would only be refused again.
+		r.forwarder.respondUnavailableFor(r.requestCtx, r.event, cause, r.room.OpensIn+withJitter(retryAfter-r.room.OpensIn))
+		return
+	}
+	r.forwarder.respondUnavailable(r.requestCtx, r.event, cause, retryAfter)
 }
 
 // abandon ends a request whose client has disconnected.
