Let hosts return to an upstream one after the other after a pause

Cause: each host began to return with one request in the moment in which the pause ended. With twelve hosts and an upstream of four or six slots one request of each is already its whole load.

Change: hosts return in the order of a rendezvous hash, evenly within a second, or within the stated time if that is shorter. The order needs no messages and differs between upstreams. The requests of each then grow as before, so all are back 3 s after the end at the latest.

Evidence: TestHostsReturnInTurn (twelve hosts, one upstream) failed on the code before, where all twelve sent a request within 0.1 s of the end; now at most two do, each host sends again at half of its earlier rate or more from 2 s to 3 s after the end.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -159,6 +159,17 @@
 	return max(len(p.hosts), 1)
 }
 
+// Turn returns the place of this host, from 0 for the first, in an even order of all hosts that
+// ends before 1 and differs from upstream to upstream.
+func (p *Pacer) Turn(upstream core.UpstreamName) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.hosts) == 0 {
+		return 0
+	}
+	return float64(p.rank(upstream)) / float64(len(p.hosts))
+}
+
 // rank returns the number of hosts with a higher rendezvous weight for the
 // upstream than this host.
 func (p *Pacer) rank(upstream core.UpstreamName) int {
--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// returnSpread is the time in which hosts return one after the other to an upstream
+	// whose pauses end together, or less after a shorter pause. With many hosts the share of
+	// one may be less than one request, so a gradual return of each is not enough.
+	returnSpread = time.Second
 	// returnTime is how long after its return the requests of a host grow to their usual
 	// number.
 	returnTime = 2 * time.Second
@@ -139,8 +143,7 @@
 		if u.pausedSince.IsZero() {
 			u.pausedSince = now
 		}
-		u.closedUntil = later(u.closedUntil, now.Add(said.RetryAfter))
-		u.reopensAt = u.closedUntil
+		p.extendPause(u, said.RetryAfter, now)
 	}
 	u.finding = said.Finding
 	if !isNew {
@@ -149,6 +152,16 @@
 	return &AvailabilityChange{Upstream: u.Upstream, Availability: said}
 }
 
+// extendPause keeps requests from the upstream for a time, unless a longer one is in force.
+func (p *Placer) extendPause(u *upstream, pause time.Duration, now time.Time) {
+	until := now.Add(pause)
+	if !until.After(u.closedUntil) {
+		return
+	}
+	spread := min(returnSpread, pause)
+	u.closedUntil, u.reopensAt = until, until.Add(time.Duration(p.Pacer.Turn(u.Name)*float64(spread)))
+}
+
 // endPause records the end of the upstream's pause, if there was one and it is over.
 func (p *Placer) endPause(u *upstream, now time.Time) {
 	if u.pausedSince.IsZero() || u.isPaused(now) {
