Keep the pause of an upstream that leaves the list until it ends

Cause: the state of an upstream that left the list was discarded after 15 s, also while a longer pause was in force. If its registration came back after that (registrations expire while the store is away), the same incarnation got requests at once in the time for which it wanted none.

Evidence: TestPauseOutlastsAbsence failed before and passes.

--- a/core/placer/closure_test.go
+++ b/core/placer/closure_test.go
@@ -52,3 +52,25 @@
 	}
 	is.Equal(len(p.TakeEndedPauses(now)), 2)
 }
+
+// TestPauseOutlastsAbsence guards against requests to an upstream in a long pause that left the
+// list meanwhile, for example since its registration expired while the store was away.
+func TestPauseOutlastsAbsence(t *testing.T) {
+	is := is.New(t)
+	list := upstreamsIn(1, "slz-a")
+	p := newPlacer("slz-a", list)
+	choice, ok := p.Choose(query("key"), start)
+	is.True(ok)
+	say(p, choice, placer.Availability{RetryAfter: 5 * time.Minute}, start)
+	now := start
+	for range 2 {
+		p.SetUpstreams(nil, now)
+		now = now.Add(time.Minute)
+	}
+	p.SetUpstreams(list, now)
+	withoutCold(p, list, now)
+	_, ok = p.Choose(query("key"), now)
+	is.True(!ok)
+	_, ok = p.Choose(query("key"), start.Add(5*time.Minute))
+	is.True(ok)
+}
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -48,12 +48,14 @@
 	leavingRetention = 5 * time.Minute
 )
 
-// retention returns how long the state of the upstream is kept after it left the list.
-func (u *upstream) retention() time.Duration {
+// retainedUntil returns until when the state of an upstream that left the list is kept, at
+// least to the end of its pause.
+func (u *upstream) retainedUntil() time.Time {
+	retention := removedRetention
 	if u.saidLeaving {
-		return leavingRetention
+		retention = leavingRetention
 	}
-	return removedRetention
+	return later(u.removedAt.Add(retention), u.closedUntil)
 }
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
@@ -63,7 +65,7 @@
 		p.removed = map[core.UpstreamName]*upstream{}
 	}
 	for name, u := range p.removed {
-		if next[name] != nil || now.Sub(u.removedAt) > u.retention() {
+		if next[name] != nil || now.After(u.retainedUntil()) {
 			delete(p.removed, name)
 		}
 	}
