Count answers of upstreams that are not listed at the moment

Cause: when an upstream left the list while requests ran there, their answers were counted for nothing. If it was listed again with the same incarnation, these requests stayed in flight in the host's books for good, so that its queue was overestimated until it restarted; and a pause that it asked for in such an answer was lost once its state had been discarded after 15 s.

Change: reports and releases go to the incarnation, listed or not, and its state is kept while requests are in flight there. A report for a name that another incarnation has by now no longer reaches that one.

Evidence: TestAnswersWhileAbsent failed before.

--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -59,13 +59,14 @@
 }
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
-// and discards what was kept for too long.
+// and discards what was kept for too long. While requests are in flight, their responses may
+// say something.
 func (p *Placer) retainRemoved(next map[core.UpstreamName]*upstream, now time.Time) {
 	if p.removed == nil {
 		p.removed = map[core.UpstreamName]*upstream{}
 	}
 	for name, u := range p.removed {
-		if next[name] != nil || now.After(u.retainedUntil()) {
+		if next[name] != nil || u.inFlight == 0 && now.After(u.retainedUntil()) {
 			delete(p.removed, name)
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -295,7 +295,7 @@
 func (p *Placer) Release(choice Choice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := p.upstreams[choice.Upstream.Name]
+	u := p.incarnationOf(choice.Upstream)
 	if u == nil {
 		return
 	}
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -85,11 +85,11 @@
 	if report.DialTime > 0 {
 		p.recordRoundTrip(choice, report.DialTime)
 	}
-	available := p.updateAvailability(p.incarnationOf(choice.Upstream), report.Availability, now)
-	u := p.upstreams[choice.Upstream.Name]
-	if u == nil || u.Incarnation != choice.Upstream.Incarnation {
-		return nil, available
+	u := p.incarnationOf(choice.Upstream)
+	if u == nil {
+		return nil, nil
 	}
+	available := p.updateAvailability(u, report.Availability, now)
 	u.finishAttempt()
 	if report.Load != nil {
 		u.updateLoad(*report.Load, now)
