--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -152,6 +152,24 @@
 	return 0
 }
 
+// HostCount returns the number of hosts, at least 1.
+func (p *Pacer) HostCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.hosts), 1)
+}
+
+// Turn returns the place of this host, from 0 for the first, in an even order of all hosts that
+// ends before 1 and differs from upstream to upstream.
+func (p *Pacer) Turn(upstream core.UpstreamName) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.hosts) == 0 {
+		return 0
+	}
+	return float64(p.rank(upstream)) / float64(len(p.hosts))
+}
+
 // rank returns the number of hosts with a higher rendezvous weight for the
 // upstream than this host.
 func (p *Pacer) rank(upstream core.UpstreamName) int {
--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -1,15 +1,20 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/endiverun/endiverun/core"
 )
 
-// returnTime is how long after the end of the time that an upstream stated its requests
-// grow to their usual number.
-const returnTime = 2 * time.Second
+const (
+	// returnSpread is the time in which hosts return one after the other to an upstream
+	// whose pauses end together, or less after a shorter pause. With many hosts the share of
+	// one may be less than one request, so a gradual return of each is not enough.
+	returnSpread = time.Second
+	// returnTime is how long after its return the requests of a host grow to their usual
+	// number.
+	returnTime = 2 * time.Second
+)
 
 // Availability is what a response says about the requests that its upstream takes from now
 // on.
@@ -38,18 +43,39 @@
 	// closedUntil is the latest end of the times for which the upstream wanted no requests
 	// from this host. A later statement of a shorter time does not bring it forward.
 	closedUntil time.Time
-	finding     string
+	// reopensAt is when this host returns after that time.
+	reopensAt time.Time
+	finding   string
+	// pausedSince is when the time that closedUntil ends began; zero once its end was
+	// recorded. pauseUse is what it kept away from the upstream.
+	pausedSince time.Time
+	pauseUse    pauseUse
+}
+
+// pauseUse counts what a pause of an upstream kept away from it.
+type pauseUse struct {
+	moved, refused int
 }
 
-// isClosed reports whether the upstream wants no requests from this host now.
-func (a *availability) isClosed(now time.Time) bool {
+// EndedPause is a time for which an upstream wanted no requests from this host and which is
+// over.
+type EndedPause struct {
+	Upstream core.Upstream
+	Length   time.Duration
+	// Moved counts the attempts that went to another upstream because of it, and Refused the
+	// requests that found all upstreams in a pause, this one with the next end.
+	Moved, Refused int
+}
+
+// isPaused reports whether the upstream wants no requests from this host now.
+func (a *availability) isPaused(now time.Time) bool {
 	return now.Before(a.closedUntil)
 }
 
 // isReturning reports whether the time in which the upstream wanted no requests ended so
 // recently that this host still sends it fewer than usual.
 func (a *availability) isReturning(now time.Time) bool {
-	return !a.closedUntil.IsZero() && !a.isClosed(now) && now.Sub(a.closedUntil) < returnTime
+	return !a.closedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.reopensAt) < returnTime
 }
 
 // isLeaving reports whether the upstream drains, as the list or one of its responses says.
@@ -57,29 +83,18 @@
 	return u.Draining || u.saidLeaving
 }
 
-// hasReturned reports whether the upstream may get one more request as far as its stated
-// times go. The requests in flight at a returning upstream grow from one to its slots.
-func (u *upstream) hasReturned(now time.Time) bool {
-	if u.isClosed(now) {
-		return false
-	}
+// returnsAt returns when a returning upstream may get one more request while none of those
+// in flight ends, the zero time if the upstream is not returning. The requests in flight at
+// it grow from one to its slots.
+func (u *upstream) returnsAt(now time.Time) time.Time {
 	if !u.isReturning(now) {
-		return true
+		return time.Time{}
 	}
-	progress := now.Sub(u.closedUntil).Seconds() / returnTime.Seconds()
-	return u.inFlight < 1+int(progress*float64(u.slots()))
-}
-
-// isEligible reports whether the upstream may get requests at all: it does not drain and
-// its zone is not evacuated.
-func (p *Placer) isEligible(u *upstream) bool {
-	return !u.isLeaving() && !p.evacuated[u.Zone]
-}
-
-// isReachable reports whether this host may contact the upstream outside of requests, for a
-// health check or to prepare a connection.
-func (p *Placer) isReachable(u *upstream, now time.Time) bool {
-	return p.isEligible(u) && !u.isEjected(now) && !u.isClosed(now)
+	if now.Before(u.reopensAt) {
+		return u.reopensAt
+	}
+	progress := float64(u.inFlight) / float64(u.slots())
+	return u.reopensAt.Add(time.Duration(min(progress, 1) * float64(returnTime)))
 }
 
 // RecordAvailability records what a health check said about the availability of an upstream.
@@ -117,14 +132,18 @@
 		return nil
 	}
 	isNew := said.IsLeaving && !u.saidLeaving
-	isNew = isNew || said.RetryAfter > 0 && !u.isClosed(now)
+	isNew = isNew || said.RetryAfter > 0 && !u.isPaused(now)
 	isNew = isNew || said.Finding != "" && said.Finding != u.finding
 	if said.IsLeaving && !u.saidLeaving {
 		u.saidLeaving = true
 		p.groupByService()
 	}
 	if said.RetryAfter > 0 {
-		u.closedUntil = later(u.closedUntil, now.Add(said.RetryAfter))
+		p.endPause(u, now)
+		if u.pausedSince.IsZero() {
+			u.pausedSince = now
+		}
+		p.extendPause(u, said.RetryAfter, now)
 	}
 	u.finding = said.Finding
 	if !isNew {
@@ -133,25 +152,50 @@
 	return &AvailabilityChange{Upstream: u.Upstream, Availability: said}
 }
 
-// reopening returns the time until the first upstream wants requests again, if all that may
-// get the request want none now, otherwise 0. It also reports whether one that was not tried
-// is returning, so that it may soon take one more request.
-func (p *Placer) reopening(s *service, query Query, now time.Time) (opensIn time.Duration, isReturning bool) {
-	isAnyOpen := false
-	for _, r := range s.regions {
-		if !query.allowsRegion(r.name) {
-			continue
-		}
-		for _, u := range r.members {
-			isReturning = isReturning || u.isReturning(now) && !slices.Contains(query.Exclude, u.Name)
-			isAnyOpen = isAnyOpen || !u.isClosed(now)
-			if remaining := u.closedUntil.Sub(now); remaining > 0 && (opensIn == 0 || remaining < opensIn) {
-				opensIn = remaining
-			}
-		}
+// extendPause keeps requests from the upstream for a time, unless a longer one is in force.
+func (p *Placer) extendPause(u *upstream, pause time.Duration, now time.Time) {
+	until := now.Add(pause)
+	if !until.After(u.closedUntil) {
+		return
 	}
-	if isAnyOpen {
-		return 0, isReturning
+	spread := min(returnSpread, pause)
+	u.closedUntil, u.reopensAt = until, until.Add(time.Duration(p.Pacer.Turn(u.Name)*float64(spread)))
+}
+
+// endPause records the end of the upstream's pause, if there was one and it is over.
+func (p *Placer) endPause(u *upstream, now time.Time) {
+	if u.pausedSince.IsZero() || u.isPaused(now) {
+		return
+	}
+	p.endedPauses = append(p.endedPauses, EndedPause{
+		Upstream: u.Upstream, Length: u.closedUntil.Sub(u.pausedSince), Moved: u.pauseUse.moved, Refused: u.pauseUse.refused,
+	})
+	u.pausedSince, u.pauseUse = time.Time{}, pauseUse{}
+}
+
+// TakeEndedPauses returns the pauses that have ended since the last call. A pause that ends
+// because the upstream is replaced by its next incarnation is left out.
+func (p *Placer) TakeEndedPauses(now time.Time) []EndedPause {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for u := range p.allIncarnations() {
+		p.endPause(u, now)
+	}
+	ended := p.endedPauses
+	p.endedPauses = nil
+	return ended
+}
+
+// PausedUpstreams returns the number of listed upstreams that want no requests from this host
+// now.
+func (p *Placer) PausedUpstreams(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, u := range p.upstreams {
+		if u.isPaused(now) {
+			n++
+		}
 	}
-	return opensIn, isReturning
+	return n
 }
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -48,22 +48,25 @@
 	leavingRetention = 5 * time.Minute
 )
 
-// retention returns how long the state of the upstream is kept after it left the list.
-func (u *upstream) retention() time.Duration {
+// retainedUntil returns until when the state of an upstream that left the list is kept, at
+// least to the end of its pause.
+func (u *upstream) retainedUntil() time.Time {
+	retention := removedRetention
 	if u.saidLeaving {
-		return leavingRetention
+		retention = leavingRetention
 	}
-	return removedRetention
+	return later(u.removedAt.Add(retention), u.closedUntil)
 }
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
-// and discards what was kept for too long.
+// and discards what was kept for too long. While requests are in flight, their responses may
+// say something.
 func (p *Placer) retainRemoved(next map[core.UpstreamName]*upstream, now time.Time) {
 	if p.removed == nil {
 		p.removed = map[core.UpstreamName]*upstream{}
 	}
 	for name, u := range p.removed {
-		if next[name] != nil || now.Sub(u.removedAt) > u.retention() {
+		if next[name] != nil || u.inFlight == 0 && now.After(u.retainedUntil()) {
 			delete(p.removed, name)
 		}
 	}
@@ -84,6 +87,7 @@
 		s.members = s.members[:0]
 	}
 	for _, u := range p.upstreams {
+		u.excluded = p.exclusion(u)
 		s := p.services[u.Service]
 		if s == nil {
 			s = &service{}
@@ -95,16 +99,16 @@
 		s.members = append(s.members, u)
 	}
 	for _, s := range p.services {
-		s.regions = p.eligibleByRegion(s.members)
+		s.regions = eligibleByRegion(s.members)
 	}
 }
 
 // eligibleByRegion groups the members that are eligible for requests, neither
 // draining nor in an evacuated zone, by region.
-func (p *Placer) eligibleByRegion(members []*upstream) []*region {
+func eligibleByRegion(members []*upstream) []*region {
 	var regions []*region
 	for _, u := range members {
-		if !p.isEligible(u) {
+		if u.excluded != Open {
 			continue
 		}
 		i := slices.IndexFunc(regions, func(r *region) bool { return r.name == u.region })
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -79,6 +79,10 @@
 	// LimitInterval the shortest time between two attempts of this host that it allows.
 	Limit         placer.KnownLimit
 	LimitInterval time.Duration
+	// MovedFrom is the upstream that would have got the last attempt, if its rate limit or its
+	// pause kept the attempt away, and MovedBy which of them.
+	MovedFrom core.UpstreamName
+	MovedBy   placer.Closure
 	// Status is the HTTP status code sent to the client.
 	Status int
 	// Duration is the time since the request arrived.
@@ -95,9 +99,8 @@
 	// ResponseTime is the time from sending the request to its response. QueueTime is an
 	// estimate: the time for which the attempt was expected to queue at the upstream.
 	ResponseTime, QueueTime time.Duration
-	// IsMoved says that the rate limit of another upstream sent the attempt to this one, and
-	// IsRepeat that the attempt followed another one of the same request.
-	IsMoved, IsRepeat bool
+	// IsRepeat says that the attempt followed another one of the same request.
+	IsRepeat bool
 }
 
 // Forwarder is an HTTP server that forwards client requests to upstreams.
@@ -308,12 +311,17 @@
 	notify(f.OnFailure, event)
 }
 
-// respondUnavailable responds with 503 and Retry-After to a request that was not
-// executed.
+// respondUnavailable responds with 503 and a Retry-After of about the given time to a request
+// that was not executed.
 func (f *Forwarder) respondUnavailable(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
+	f.respondUnavailableFor(ctx, event, cause, withJitter(retryAfter))
+}
+
+// respondUnavailableFor is respondUnavailable with an exact Retry-After.
+func (f *Forwarder) respondUnavailableFor(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
 	event.Cause = cause
 	event.Status = fasthttp.StatusServiceUnavailable
-	seconds := strconv.FormatFloat(withJitter(retryAfter).Seconds(), 'f', 3, 64)
+	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	notify(f.OnFailure, event)
