Keep what an upstream said of its end in one place

That an upstream drains was part of the state of its listed entry. A host forgot what the upstream had said in a response, and sent it requests again, when

- the entry was missing for more than five minutes and came back,
- an older list came after one with the next incarnation,
- the same incarnation was listed with another address, or
- the response arrived more than 15 s after the entry was removed.

core/placer/leaving.go now holds the departures by name and incarnation, apart from the lists. They begin with a response, a health check or another host's word, and end only with the incarnation. Notices about unlisted incarnations take effect when they are listed, and displace nothing. The host that told is part of the change.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -24,17 +24,16 @@
 }
 
 // AvailabilityChange reports what a host has newly learned about the availability of an
-// upstream from its responses.
+// upstream, from its responses or from another host.
 type AvailabilityChange struct {
 	Upstream     core.Upstream
 	Availability Availability
+	// Source is the host that told this one; empty means a response to this host.
+	Source core.HostName
 }
 
 // availability is what an incarnation of an upstream has said of itself.
 type availability struct {
-	// saidLeaving says that a response announced that the upstream drains. No list undoes
-	// that, since a list may be older; it ends with the incarnation.
-	saidLeaving bool
 	// closedUntil is the latest end of the times for which the upstream wanted no requests
 	// from this host. A later statement of a shorter time does not bring it forward.
 	closedUntil time.Time
@@ -52,11 +51,6 @@
 	return !a.closedUntil.IsZero() && !a.isClosed(now) && now.Sub(a.closedUntil) < returnTime
 }
 
-// isLeaving reports whether the upstream drains, as the list or one of its responses says.
-func (u *upstream) isLeaving() bool {
-	return u.Draining || u.saidLeaving
-}
-
 // hasReturned reports whether the upstream may get one more request as far as its stated
 // times go. The requests in flight at a returning upstream grow from one to its slots.
 func (u *upstream) hasReturned(now time.Time) bool {
@@ -96,7 +90,7 @@
 func (p *Placer) recordAvailability(checked core.Upstream, said Availability, now time.Time) *AvailabilityChange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.updateAvailability(p.incarnationOf(checked), said, now)
+	return p.updateAvailability(checked, said, now)
 }
 
 // incarnationOf returns the state of an incarnation of an upstream that is or was listed,
@@ -112,17 +106,21 @@
 
 // updateAvailability records what a response of an upstream said and returns what is new,
 // nil if nothing is. The caller holds Placer.mu.
-func (p *Placer) updateAvailability(u *upstream, said Availability, now time.Time) *AvailabilityChange {
-	if u == nil || said == (Availability{}) {
+func (p *Placer) updateAvailability(sought core.Upstream, said Availability, now time.Time) *AvailabilityChange {
+	if said == (Availability{}) {
 		return nil
 	}
-	isNew := said.IsLeaving && !u.saidLeaving
-	isNew = isNew || said.RetryAfter > 0 && !u.isClosed(now)
-	isNew = isNew || said.Finding != "" && said.Finding != u.finding
-	if said.IsLeaving && !u.saidLeaving {
-		u.saidLeaving = true
-		p.groupByService()
+	var left *AvailabilityChange
+	if said.IsLeaving {
+		left = p.recordDeparture(sought, "", now)
 	}
+	u := p.incarnationOf(sought)
+	if u == nil {
+		return left
+	}
+	said.IsLeaving = left != nil
+	isNew := said.IsLeaving || said.RetryAfter > 0 && !u.isClosed(now)
+	isNew = isNew || said.Finding != "" && said.Finding != u.finding
 	if said.RetryAfter > 0 {
 		u.closedUntil = later(u.closedUntil, now.Add(said.RetryAfter))
 	}
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -15,6 +15,13 @@
 // that are new to the list are possibly cold; those of the first list only if AssumeCold
 // is set.
 func (p *Placer) SetUpstreams(list []core.Upstream, now time.Time) {
+	for _, change := range p.setUpstreams(list, now) {
+		p.notifyAvailability(&change)
+	}
+}
+
+// setUpstreams is SetUpstreams without its notifications, which it returns.
+func (p *Placer) setUpstreams(list []core.Upstream, now time.Time) []AvailabilityChange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spillover.maxShare, p.migrations.maxShare = spilloverShiftShare*p.maxShift(), maxMigrationShare
@@ -37,24 +44,13 @@
 	}
 	p.retainRemoved(next, now)
 	p.upstreams = next
+	changes := p.applyDepartures(next, now)
 	p.groupByService()
+	return changes
 }
 
-const (
-	// removedRetention is how long the state of an upstream that left the list is kept.
-	removedRetention = 15 * time.Second
-	// leavingRetention is that time for an upstream that said that it drains. A list that
-	// is older may include it again.
-	leavingRetention = 5 * time.Minute
-)
-
-// retention returns how long the state of the upstream is kept after it left the list.
-func (u *upstream) retention() time.Duration {
-	if u.saidLeaving {
-		return leavingRetention
-	}
-	return removedRetention
-}
+// removedRetention is how long the state of an upstream that left the list is kept.
+const removedRetention = 15 * time.Second
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
 // and discards what was kept for too long.
@@ -63,7 +59,7 @@
 		p.removed = map[core.UpstreamName]*upstream{}
 	}
 	for name, u := range p.removed {
-		if next[name] != nil || now.Sub(u.removedAt) > u.retention() {
+		if next[name] != nil || now.Sub(u.removedAt) > removedRetention {
 			delete(p.removed, name)
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -60,8 +60,8 @@
 	MaxRegionShift float64
 	// OnLimitChange is called after the rate limit of an upstream changed; nil ignores it.
 	OnLimitChange func(LimitChange)
-	// OnAvailabilityChange is called after the responses of an upstream said something new
-	// about its availability; nil ignores it.
+	// OnAvailabilityChange is called after the responses of an upstream, or another host, said
+	// something new about its availability; nil ignores it.
 	OnAvailabilityChange func(AvailabilityChange)
 
 	mu        sync.Mutex
@@ -72,6 +72,10 @@
 	// again with the same incarnation keeps its state.
 	removed   map[core.UpstreamName]*upstream
 	evacuated map[core.ZoneName]bool
+	// departures hold also what is known of upstreams that are in neither list.
+	departures departures
+	// leavingRound counts the calls of LeavingNotices.
+	leavingRound int
 	// lastThrottled is when the warm-up limit last kept a request from any upstream.
 	lastThrottled time.Time
 	// use is what the host did with its shares in rate limits since the last call of TakeUse.
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -85,7 +85,7 @@
 	if report.DialTime > 0 {
 		p.recordRoundTrip(choice, report.DialTime)
 	}
-	available := p.updateAvailability(p.incarnationOf(choice.Upstream), report.Availability, now)
+	available := p.updateAvailability(choice.Upstream, report.Availability, now)
 	u := p.upstreams[choice.Upstream.Name]
 	if u == nil || u.Incarnation != choice.Upstream.Incarnation {
 		return nil, available
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -37,7 +37,9 @@
 type upstream struct {
 	core.Upstream
 	availability
-	region core.RegionName
+	// departure is set if the incarnation announced that it drains.
+	departure *departure
+	region    core.RegionName
 	// hash is the hash of the name, for rendezvous hashing.
 	hash uint64
 	// coldUntil is the end of a warm-up that the upstream or another host announced.
