Tell other hosts which upstreams say that they drain

Each host heard it by a request of its own, so a client's next host sent another request to an upstream that had told the first host that it leaves.

Heartbeats have a new optional field, 11, with up to 8 upstreams and the incarnation of each: news of the last 2 s first, the others in irregular turns, since hosts that get every second heartbeat would hear of the same half in regular ones. Who hears of it first sends an urgent heartbeat at the existing rate, and further ones until each upstream has been in two. Builds without the field ignore it, and the golden files of other heartbeats are as before. A notice without a name or an incarnation is logged as peer-rejected and costs only itself. Event 515 names its source, the gauge leaving_upstreams counts the listed upstreams that drain.

Run on with stubs in place of the new methods and field, a trial: all of TestLeavingIsAnnounced (no urgent heartbeat), TestInvalidLeavingNoticeCostsItself, TestHeartbeatWithManyLeavingUpstreams (0 of 200 told), TestNoChecksOfLeavingUpstream and the format heartbeat-with-leaving fail, and of TestOlderSnapshotKeepsDeparture the case of a store restored from before a restart. All pass now. The largest heartbeat of the test, with 32 cold, 8 leaving and 16 limited upstreams, stays under 1,400 bytes.

--- a/core/placer/leaving_test.go
+++ b/core/placer/leaving_test.go
@@ -355,7 +355,8 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 10, 400, 3000, 20000, 400000}).Draw(t, "ms")) * time.Millisecond)
 			h := rapid.SampledFrom(hosts).Draw(t, "host")
-			switch rapid.SampledFrom([]string{"request", "request", "change", "list", "heartbeat", "false notice", "health check"}).Draw(t, "action") {
+			actions := []string{"request", "request", "change", "list", "heartbeat", "false notice", "health check"}
+			switch rapid.SampledFrom(actions).Draw(t, "action") {
 			case "change":
 				next := slices.Clone(lists[len(lists)-1])
 				i := rapid.IntRange(0, max(0, len(next)-1)).Draw(t, "upstream")
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -81,6 +81,9 @@
 	LoanSteps uint8 `cbor:"9,keyasint,omitempty"`
 	// NeedsShares says that rate limits left the host no upstream for some request lately.
 	NeedsShares bool `cbor:"10,keyasint,omitempty"`
+	// Leaving holds the incarnations of some upstreams that announced in a response, to this
+	// host or another one, that they drain.
+	Leaving map[core.UpstreamName]core.Incarnation `cbor:"11,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
--- a/entry/controller/check.go
+++ b/entry/controller/check.go
@@ -96,9 +96,10 @@
 }
 
 // handleHeartbeat marks the upstreams as cold that another host found cold, and records
-// what it knows about rate limits.
+// what it knows about rate limits and about upstreams that drain.
 func (c *Controller) handleHeartbeat(heartbeat roster.Heartbeat) {
 	now := time.Now()
+	c.mergeLeaving(heartbeat, now)
 	c.mergeRateLimits(heartbeat, now)
 	for name, ms := range heartbeat.RemainingWarmUps {
 		upstream, isNewlyCold := c.placer.MarkCold(name, time.Duration(ms)*time.Millisecond, now)
--- a/entry/controller/limits.go
+++ b/entry/controller/limits.go
@@ -75,14 +75,18 @@
 	line.Send()
 }
 
-// recordAvailability logs what an upstream said about further requests.
+// recordAvailability logs what an upstream said about further requests, and tells other
+// hosts that it drains if none of them told this one.
 func (c *Controller) recordAvailability(change placer.AvailabilityChange) {
 	said := change.Availability
 	line := func(event logger.Event) *zerolog.Event {
 		return c.Log.Event(event).Str("upstream", string(change.Upstream.Name)).Str("service", string(change.Upstream.Service))
 	}
 	if said.IsLeaving {
-		line(logger.UpstreamSaidLeaving).Send()
+		line(logger.UpstreamSaidLeaving).Str("source", string(change.Source)).Send()
+		if change.Source == "" {
+			c.requestUrgentHeartbeat()
+		}
 	}
 	if said.RetryAfter > 0 {
 		line(logger.UpstreamClosed).Dur("for", said.RetryAfter).Send()
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -29,6 +29,7 @@
 		"upstreams":         func() float64 { return float64(c.upstreamCount()) },
 		"evacuated_zones":   func() float64 { return float64(c.evacuatedZoneCount()) },
 		"limited_upstreams": func() float64 { return float64(c.placer.LimitedUpstreams()) },
+		"leaving_upstreams": func() float64 { return float64(c.placer.LeavingUpstreams()) },
 		"lent_share":        c.lentShare,
 		"sharing_hosts":     func() float64 { return float64(c.sharingHosts.Load()) },
 		"log_lines_lost":    func() float64 { return float64(c.Log.DroppedLines()) },
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -116,6 +116,7 @@
 		LoanSteps:        uint8(c.loanSteps.Load()),
 		NeedsShares:      c.needsShares.Load(),
 	}
+	c.addLeaving(&heartbeat, now)
 	c.addReaderStatus(&heartbeat, now)
 	return heartbeat
 }
--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -48,6 +48,13 @@
 	return heartbeat
 }
 
+// leavingBeat names an upstream that drains beside the fields of fullBeat.
+func leavingBeat(name core.UpstreamName, incarnation core.Incarnation) roster.Heartbeat {
+	heartbeat := fullBeat
+	heartbeat.Leaving = map[core.UpstreamName]core.Incarnation{name: incarnation}
+	return heartbeat
+}
+
 // restoredBeat is the heartbeat of a host whose store was restored lately.
 func restoredBeat() roster.Heartbeat {
 	heartbeat := fullBeat
@@ -102,6 +109,7 @@
 		{"heartbeat-with-ended-limit", limitBeat("desk-1", core.NewRateLimitNotice(0, false, 1200*time.Millisecond))},
 		{"heartbeat-with-loan", lendingBeat(5, false)},
 		{"heartbeat-of-borrower", lendingBeat(0, true)},
+		{"heartbeat-with-leaving", leavingBeat("desk-1", 1700000000002)},
 		{"heartbeat-after-restore", restoredBeat()},
 		{"snapshot", fullSnapshot},
 		{"snapshot-after-restore", restoredSnapshot()},
