Do not take a late response for that of a health check

A health check uses a kept connection, on which the upstream may write the response to an earlier request late or once more. If that response named the upstream and said that it drains or wants no requests, the check took it for its own: the host sent the upstream nothing until its next incarnation. Its warm-up time was believed too. Checks send no id, so a response that echoes one is another request's; the check fails and its connection is closed.

TestLateAnswerIsNoHealth failed before ({true 9s} instead of nothing). The 14 cases of TestOtherAnswersMarkNobody, of requests, passed before as well: late, doubled, surplus and broken responses marked nobody there.

--- a/entry/exchanger/availability_test.go
+++ b/entry/exchanger/availability_test.go
@@ -74,3 +74,70 @@
 	is.True(err != nil)
 	is.Equal(health.Availability, placer.Availability{})
 }
+
+// leavingAnswer returns a response to the request with the id that says that its upstream
+// drains and wants no requests.
+func leavingAnswer(id string) string {
+	return "HTTP/1.1 503 Busy\r\nRequest-Id: " + id + "\r\nInstance: u-1\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: 9\r\n" +
+		"Keep-Alive: timeout=10\r\nContent-Length: 4\r\n\r\nbusy"
+}
+
+// TestOtherAnswersMarkNobody guards against statements of answers that belong to no request
+// of this upstream now: late ones, doubled ones, those after a complete answer, and heads
+// that are no answer. Two requests use one connection if it is kept.
+func TestOtherAnswersMarkNobody(t *testing.T) {
+	late := leavingAnswer("id-0")
+	early := strings.Replace(leavingAnswer("id-2"), "503 Busy", "103 Early", 1)
+	tests := []struct {
+		name string
+		// first and second are what the upstream writes when it has read the requests.
+		first, second string
+		id            string
+	}{
+		{"late before the first", late + answer("id-1"), answer("id-2"), "id-2"},
+		{"late before the second", answer("id-1"), late + answer("id-2"), "id-2"},
+		{"late twice", answer("id-1"), late + late + answer("id-2"), "id-2"},
+		{"to the first, before the second", answer("id-1"), leavingAnswer("id-1") + answer("id-2"), "id-2"},
+		{"after the first", answer("id-1") + leavingAnswer("id-1"), answer("id-2"), "id-2"},
+		{"after the first, as if to the second", answer("id-1") + leavingAnswer("id-2"), answer("id-2"), "id-2"},
+		{"after the second", answer("id-1"), answer("id-2") + leavingAnswer("id-2"), "id-2"},
+		{"without an id", answer("id-1"), strings.Replace(late, "Request-Id: id-0\r\n", "", 1) + answer("id-2"), "id-2"},
+		{"with an empty id", answer("id-1"), leavingAnswer("") + answer("id-2"), "id-2"},
+		{"with two ids", answer("id-1"), strings.Replace(late, "id-0", "id-0\r\nRequest-Id: id-2", 1) + answer("id-2"), "id-2"},
+		{"before a request without an id", answer("id-1"), late + answer(""), ""},
+		{"an informational head", answer("id-1"), early[:strings.Index(early, "busy")] + answer("id-2"), "id-2"},
+		{"in place of the answer", answer("id-1"), late, "id-2"},
+		{"a broken head", answer("id-1"), leavingAnswer("id-2")[:90], "id-2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			upstream := serveConnections(t, []string{tt.first, tt.second}, []string{answer(tt.id)})
+			e := newExchanger()
+			defer e.Close()
+			for _, id := range []string{"id-1", tt.id} {
+				result := e.Do(t.Context(), attemptWithID(upstream, id))
+				is.Equal(result.Report.Availability, placer.Availability{})
+				result.Close()
+			}
+		})
+	}
+}
+
+// TestLateAnswerIsNoHealth guards against a health check on a kept connection that takes a
+// late answer to a request for its response.
+func TestLateAnswerIsNoHealth(t *testing.T) {
+	is := is.New(t)
+	healthy := "HTTP/1.1 200 OK\r\nRequest-Id: \r\nInstance: u-1\r\nContent-Length: 0\r\n\r\n"
+	upstream := serveConnections(t, []string{answer("id-1"), leavingAnswer("id-1") + healthy}, []string{healthy})
+	e := newExchanger()
+	defer e.Close()
+	result := e.Do(t.Context(), attempt(upstream, ""))
+	is.Equal(result.State, core.Answered)
+	result.Close()
+	health, err := e.CheckHealth(upstream, "/health", time.Second)
+	is.True(err != nil)
+	is.Equal(health.Availability, placer.Availability{})
+	_, err = e.CheckHealth(upstream, "/health", time.Second)
+	is.NoErr(err)
+}
--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -70,5 +70,12 @@
 	if written := writeRequest(conn, request, nil); written.err != nil {
 		return written.err
 	}
-	return readBuffered(response, conn.reader, int(e.MaxResponseBody))
+	if err := readBuffered(response, conn.reader, int(e.MaxResponseBody)); err != nil {
+		return err
+	}
+	// A health check has no id, so this is a late response to a request on the connection.
+	if len(response.Header.Peek(e.HeaderNames.RequestID)) > 0 {
+		return errMismatchedResponse
+	}
+	return nil
 }
