--- a/entry/exchanger/availability_test.go
+++ b/entry/exchanger/availability_test.go
@@ -105,7 +105,7 @@
 		{"with an empty id", answer("id-1"), leavingAnswer("") + answer("id-2"), "id-2"},
 		{"with two ids", answer("id-1"), strings.Replace(late, "id-0", "id-0\r\nRequest-Id: id-2", 1) + answer("id-2"), "id-2"},
 		{"before a request without an id", answer("id-1"), late + answer(""), ""},
-		{"an informational head", answer("id-1"), early[:strings.Index(early, "busy")] + answer("id-2"), "id-2"},
+		{"an informational head", answer("id-1"), strings.TrimSuffix(early, "busy") + answer("id-2"), "id-2"},
 		{"in place of the answer", answer("id-1"), late, "id-2"},
 		{"a broken head", answer("id-1"), leavingAnswer("id-2")[:90], "id-2"},
 	}
