Learn from the head of a response that its upstream drains

The statement counted once the body had been read, or the first 128 KiB of a long one. Until then the host sent more requests to the upstream, and if the body broke off it never learned. exchanger.OnLeaving tells it as soon as the head is read, if the head belongs to the attempt and is no 421.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -180,6 +180,7 @@
 		MaxResponseBody:  c.MemoryLimit / responseDivisor,
 		MaxBufferedBytes: c.MemoryLimit / responsesDivisor,
 		MaxConnections:   c.maxConnections,
+		OnLeaving:        c.recordLeaving,
 	}
 	c.forwarder = &forwarder.Forwarder{
 		HeaderNames:     c.ClientHeaderNames,
--- a/entry/controller/leaving.go
+++ b/entry/controller/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/logger"
 )
@@ -12,6 +13,11 @@
 // each, so that the heartbeat fits in a datagram.
 const maxLeavingInHeartbeat = 8
 
+// recordLeaving records that the head of a response said that its upstream drains.
+func (c *Controller) recordLeaving(upstream core.Upstream) {
+	c.placer.RecordAvailability(upstream, placer.Availability{IsLeaving: true}, time.Now())
+}
+
 // addLeaving adds the upstreams that announced that they drain to a heartbeat. If some that
 // other hosts do not know yet have to wait, it requests the next heartbeat at once.
 func (c *Controller) addLeaving(heartbeat *roster.Heartbeat, now time.Time) {
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -55,6 +55,7 @@
 	if err := readHead(response, conn.reader); err != nil {
 		return nil, err
 	}
+	e.notifyLeaving(response, attempt)
 	isHeadRequest := attempt.Header.IsHead()
 	if shouldStream(response, isHeadRequest) && e.matches(response, attempt) {
 		return e.newStream(conn, attempt, response.Header.ContentLength())
--- a/entry/exchanger/availability.go
+++ b/entry/exchanger/availability.go
@@ -23,14 +23,27 @@
 // availabilityOf returns what a response says about further requests. A Retry-After counts
 // only in a response with status 503.
 func (e *Exchanger) availabilityOf(response *fasthttp.Response) placer.Availability {
-	header := &response.Header
-	said := placer.Availability{IsLeaving: strings.TrimSpace(string(header.Peek(e.HeaderNames.Leaving))) == leavingValue}
+	said := placer.Availability{IsLeaving: e.saysLeaving(response)}
 	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
-		said.RetryAfter, said.Finding = parseRetryAfter(header.PeekAll(fasthttp.HeaderRetryAfter))
+		said.RetryAfter, said.Finding = parseRetryAfter(response.Header.PeekAll(fasthttp.HeaderRetryAfter))
 	}
 	return said
 }
 
+func (e *Exchanger) saysLeaving(response *fasthttp.Response) bool {
+	return strings.TrimSpace(string(response.Header.Peek(e.HeaderNames.Leaving))) == leavingValue
+}
+
+// notifyLeaving calls OnLeaving if the head of the response to an attempt says that the
+// upstream drains. The result of the attempt says it too, but only after the body, or if that
+// is long, its first part.
+func (e *Exchanger) notifyLeaving(response *fasthttp.Response, attempt Attempt) {
+	isOwn := e.matches(response, attempt) && response.StatusCode() != fasthttp.StatusMisdirectedRequest
+	if e.OnLeaving != nil && isOwn && e.saysLeaving(response) {
+		e.OnLeaving(attempt.Upstream)
+	}
+}
+
 // parseRetryAfter parses the values of the Retry-After field. Each should be one number of
 // seconds, perhaps with a fraction, and there should be at most one. Of several numbers the
 // longest counts. Other values, such as dates, are left out and reported as a finding, and
--- a/entry/exchanger/availability_test.go
+++ b/entry/exchanger/availability_test.go
@@ -1,6 +1,7 @@
 package exchanger_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -141,3 +142,38 @@
 	_, err = e.CheckHealth(upstream, "/health", time.Second)
 	is.NoErr(err)
 }
+
+// TestLeavingIsKnownBeforeTheBody guards against requests that go to an upstream that drains
+// while the body of the response that said so is on its way, or after it broke off.
+func TestLeavingIsKnownBeforeTheBody(t *testing.T) {
+	head := func(status, id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nLeaving: 1\r\nContent-Length: %d\r\n\r\n", status, id, length)
+	}
+	tests := []struct {
+		name, response string
+		want           int
+	}{
+		{"short body", head("200 OK", "id-1", 10) + "part", 1},
+		{"long body", head("200 OK", "id-1", 400<<10) + "part", 1},
+		{"failure", head("500 Oops", "id-1", 10) + "part", 1},
+		{"another upstream", head("421 No", "id-1", 10) + "part", 0},
+		{"another request", head("200 OK", "id-0", 10) + "part", 0},
+		{"part of a head", head("200 OK", "id-1", 10)[:60], 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var heard []core.Upstream
+			e := newExchanger()
+			e.OnLeaving = func(u core.Upstream) { heard = append(heard, u) }
+			upstream := serve(t, reply(tt.response))
+			result := e.Do(t.Context(), attempt(upstream, ""))
+			defer result.Close()
+			is.Equal(result.Report.Availability, placer.Availability{}) // There was no complete response.
+			is.Equal(len(heard), tt.want)
+			for _, u := range heard {
+				is.Equal(u.Name, upstream.Name)
+			}
+		})
+	}
+}
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -148,6 +148,9 @@
 	// MaxConnections returns how many connections this host may have open to one
 	// upstream of a service; a result of 0, or nil, means no limit.
 	MaxConnections func(service core.ServiceName) int
+	// OnLeaving is called as soon as the head of a response to an attempt says that its
+	// upstream drains; nil ignores it.
+	OnLeaving func(upstream core.Upstream)
 
 	pool     pool
 	buffered budgeter.Budget
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -161,7 +161,10 @@
 		Exchanger: &exchanger.Exchanger{
 			HeaderNames: exchanger.HeaderNames{
 				RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target", Load: "Load", NotRun: "Not-Run", RemainingWarmUp: "Cold",
-				RateLimit: "Rate-Limit",
+				RateLimit: "Rate-Limit", Leaving: "Leaving",
+			},
+			OnLeaving: func(u core.Upstream) {
+				place.RecordAvailability(u, placer.Availability{IsLeaving: true}, time.Now())
 			},
 			Dial:            caller.NewDialer(time.Second),
 			MaxResponseBody: core.Mebibyte,
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -103,7 +103,7 @@
 
 	UpstreamLimitUsed = Event{514, "upstream-limit-used", zerolog.InfoLevel, "What the host sent in 4 s to an upstream with a rate limit."}
 
-	UpstreamSaidLeaving = Event{515, "upstream-said-leaving", zerolog.InfoLevel, "An upstream said that it drains, in a response to this host or to the source."}
+	UpstreamSaidLeaving = Event{515, "upstream-said-leaving", zerolog.InfoLevel, "An upstream said that it drains, to this or another host."}
 
 	UpstreamClosed = Event{516, "upstream-closed", zerolog.InfoLevel, "An upstream wants no requests from this host for some time."}
 
