--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -15,6 +15,13 @@
 // that are new to the list are possibly cold; those of the first list only if AssumeCold
 // is set.
 func (p *Placer) SetUpstreams(list []core.Upstream, now time.Time) {
+	for _, change := range p.setUpstreams(list, now) {
+		p.notifyAvailability(&change)
+	}
+}
+
+// setUpstreams is SetUpstreams without its notifications, which it returns.
+func (p *Placer) setUpstreams(list []core.Upstream, now time.Time) []AvailabilityChange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spillover.maxShare, p.migrations.maxShare = spilloverShiftShare*p.maxShift(), maxMigrationShare
@@ -37,25 +44,18 @@
 	}
 	p.retainRemoved(next, now)
 	p.upstreams = next
+	changes := p.applyDepartures(next, now)
 	p.groupByService()
+	return changes
 }
 
-const (
-	// removedRetention is how long the state of an upstream that left the list is kept.
-	removedRetention = 15 * time.Second
-	// leavingRetention is that time for an upstream that said that it drains. A list that
-	// is older may include it again.
-	leavingRetention = 5 * time.Minute
-)
+// removedRetention is how long the state of an upstream that left the list is kept.
+const removedRetention = 15 * time.Second
 
 // retainedUntil returns until when the state of an upstream that left the list is kept, at
 // least to the end of its pause.
 func (u *upstream) retainedUntil() time.Time {
-	retention := removedRetention
-	if u.saidLeaving {
-		retention = leavingRetention
-	}
-	return later(u.removedAt.Add(retention), u.closedUntil)
+	return later(u.removedAt.Add(removedRetention), u.closedUntil)
 }
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -85,11 +85,11 @@
 	if report.DialTime > 0 {
 		p.recordRoundTrip(choice, report.DialTime)
 	}
+	available := p.updateAvailability(choice.Upstream, report.Availability, now)
 	u := p.incarnationOf(choice.Upstream)
 	if u == nil {
-		return nil, nil
+		return nil, available
 	}
-	available := p.updateAvailability(u, report.Availability, now)
 	u.finishAttempt()
 	if report.Load != nil {
 		u.updateLoad(*report.Load, now)
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -37,6 +37,8 @@
 type upstream struct {
 	core.Upstream
 	availability
+	// departure is set if the incarnation announced that it drains.
+	departure *departure
 	// excluded is Draining or Evacuated while this keeps everything from the upstream,
 	// otherwise Open. It is kept up to date while the upstream is listed.
 	excluded Closure
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -84,6 +84,9 @@
 	// UpstreamsAge is the time since the store last confirmed the host's list of upstreams in
 	// the era of Revisions, at least 1; 0 if it did not or the host does not tell.
 	UpstreamsAge core.Milliseconds `cbor:"11,keyasint,omitempty"`
+	// Leaving holds the incarnations of some upstreams that announced in a response, to this
+	// host or another one, that they drain.
+	Leaving map[core.UpstreamName]core.Incarnation `cbor:"13,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
