--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -146,7 +146,7 @@
 	drain  atomic.Pointer[core.DrainSchedule]
 	server *fasthttp.Server
 	// attempts ends at the end of the schedule, and with it all attempts.
-	attempts context.Context //nolint:containedctx // The handlers of the server get no context of Run.
+	attempts context.Context
 	// cut holds the requests that were in flight then.
 	cut []Pending
 }
