A host that starts late or was cut off learns what others knew before a restore

Cause: after a restore a host corrects the older state in the store by what it has itself seen. A host that started shortly before or after the restore, or was cut off, had seen nothing of it, and took the store's list; it asked no other host, since no copy was newer than its own.

Callers: requests to upstreams that had left or drained, until they wrote again or their entries expired, and to zones whose evacuation was lost.

Change: a full list for another host comes with what its sender knows (Knowledge): the upstreams that ended lately and, after a restore, the rest of the times for which it holds what it knew, with the upstreams and zones that it retains. A host asks its seeds when it starts, unless the fleet starts for the first time, and once in an era a host that says in its heartbeats that it still holds something and that started earlier, if it was itself first read less than a minute before or had no response of the store for a heartbeat. A host that has not noticed the restore yet tells what it knows of the time before it. Only what its sender retains is retained, so a list that is older than the receiver's own revives nothing. An upstream that is known to have ended is not retained either. What is known to have ended is no longer overwritten by a lower incarnation.

Evidence: the tests of knowledge_test.go, TestHostLearnsOfTimeBeforeRestore and the model TestRestoredStore, in which a host starts in between and must hold what the others do, fail without the answer's knowledge ("the starter holds the zones [], the host before [for-a]" after 7 checks).

Not covered: a starter that is ready before the first answer of a seed, or whose seeds do not answer, believes the store until it hears of a host that knows.

--- a/core/replicator/delta.go
+++ b/core/replicator/delta.go
@@ -124,6 +124,9 @@
 	}
 	if r.current.Upstreams != nil && isOffered(held.Upstreams, newest.Upstreams, held.HasOlderUpstreams(newest)) {
 		update.Upstreams = r.upstreamsSince(held, now)
+		if update.Upstreams.BaseRevision == 0 {
+			update.Knowledge = r.knowledge(now)
+		}
 	}
 	return update
 }
--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -37,7 +37,7 @@
 			update := reader.ChangesSince(before, now)
 			follower.ApplyUpdate(update, now)
 			after := follower.Held()
-			isSettling := update.Upstreams != nil && update.Upstreams.IsSettling
+			isSettling := update.Upstreams != nil && update.Upstreams.IsSettling || update.Knowledge != nil && update.Knowledge.IsSettling
 			if after.Era > before.Era && hasContents || isSettling {
 				settled = now.Add(settleTime)
 			}
--- a/core/replicator/expiry.go
+++ b/core/replicator/expiry.go
@@ -105,7 +105,7 @@
 	isAfterOutage := now.Before(r.graceUntil) || r.isStoreOut(now)
 	var missing []core.Upstream
 	for _, u := range r.current.Upstreams.List {
-		if _, isListed := find(update.List, u.Name); !isListed && !u.Draining {
+		if _, isListed := find(update.List, u.Name); !isListed && !u.Draining && !r.restoration.hasEnded(u) {
 			missing = append(missing, u)
 		}
 	}
--- a/core/replicator/removals.go
+++ b/core/replicator/removals.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// add adds the last incarnations of upstreams that another host knows to have ended, except
+// those that the list has as live in a later one.
+func (r removals) add(ended map[core.UpstreamName]core.Incarnation, listed *Upstreams, now time.Time) {
+	for name, incarnation := range ended {
+		if u, ok := find(listed.List, name); ok && u.Incarnation > incarnation {
+			continue
+		}
+		if r[name].incarnation <= incarnation {
+			r[name] = removal{incarnation: incarnation, at: now}
+		}
+	}
+}
+
 // forgetOld drops removals that no copy of the store can be older than.
 func (r removals) forgetOld(now time.Time) {
 	for name, one := range r {
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -109,6 +109,8 @@
 	// Era is the era of the store to which the revisions of Upstreams, Evacuations and Hosts
 	// belong.
 	Era core.Era `cbor:"5,keyasint,omitempty"`
+	// Knowledge comes with a full list of upstreams from another host.
+	Knowledge *Knowledge `cbor:"6,keyasint,omitempty"`
 }
 
 // Revisions returns the revisions of the parts.
@@ -148,6 +150,9 @@
 	// to the store; 0 means the default. Registrations may have expired if the store did
 	// not respond for several of them.
 	UpstreamHeartbeatInterval time.Duration
+	// IsFirstStart says that the whole fleet starts for the first time, so that no other host
+	// knows more of the time before the copy was first read.
+	IsFirstStart bool
 
 	mu sync.Mutex
 	// listed is the copy as the store or another host gave it. current differs from it in
@@ -159,6 +164,10 @@
 	// restoration is what was known when it was.
 	removals    removals
 	restoration restoration
+	// knownEra is the last era of which the copy knows the time before as well as other hosts.
+	knownEra core.Era
+	// firstRead is when the copy was first given upstreams.
+	firstRead time.Time
 	// retained are the upstreams of the copy that are missing from the store, but may
 	// only have expired.
 	retained     []core.Upstream
@@ -206,12 +215,22 @@
 	defer r.mu.Unlock()
 	earlier := r.current.Era
 	isRestored := update.Era > earlier && r.enterEra(update.Era, now)
+	if r.removals == nil {
+		r.removals = removals{}
+	}
 	var changed Snapshot
 	if p := update.Policy; p != nil && p.Version > r.current.Revisions().Policy {
 		r.listed.Policy, r.current.Policy, changed.Policy = p, p, p
 	}
-	if update.Era == r.current.Era {
+	isTold := update.Knowledge != nil && update.Upstreams != nil && update.Upstreams.BaseRevision == 0
+	switch {
+	case update.Era == r.current.Era:
 		r.applyLists(update, &changed, now)
+		if isTold {
+			r.learn(update, &changed, now)
+		}
+	case isTold && r.knownEra != r.current.Era:
+		r.learnEarlier(update, &changed, now)
 	}
 	r.notify(changed, now)
 	return earlier, isRestored
@@ -224,6 +243,9 @@
 	u, e, h := r.current.Upstreams, r.current.Evacuations, r.current.Hosts
 	hasContents := u != nil || e != nil || h != nil
 	if hasContents {
+		if r.knowsBefore(now) {
+			r.knownEra = era
+		}
 		r.restoration = newRestoration(r.current, r.removals, r.heartbeat(), now)
 		limit := settleTime(r.heartbeat())
 		r.restoration.isLate = r.isSilentFor(limit, now) || !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < limit
@@ -250,7 +272,7 @@
 		if full, ok := u.applyTo(r.listed.Upstreams, now); ok {
 			r.listed.Upstreams = full
 			r.refreshUpstreams(changed, now)
-			if full.IsSettling {
+			if full.IsSettling && update.Knowledge == nil {
 				r.restoration.join(r.heartbeat(), now)
 			}
 		}
@@ -268,6 +290,9 @@
 // refreshUpstreams derives the upstreams of the copy from the list that it was given. The
 // caller holds Replicator.mu.
 func (r *Replicator) refreshUpstreams(changed *Snapshot, now time.Time) {
+	if r.firstRead.IsZero() {
+		r.firstRead = now
+	}
 	before := r.current.Upstreams
 	corrected := r.restoration.correct(r.listed.Upstreams, before)
 	r.restoration.recordListed(corrected, now)
@@ -276,9 +301,6 @@
 		return
 	}
 	r.changes.record(before, next)
-	if r.removals == nil {
-		r.removals = removals{}
-	}
 	r.removals.record(before, next, now)
 	r.restoration.recordEnded(before, next)
 	r.current.Upstreams, changed.Upstreams = next, next
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -65,23 +65,49 @@
 	}
 }
 
+// learn adds what another host knows, and reports whether that is new. A copy that was first
+// read in this era, or has settled, has the rest of the other host's times.
+func (s *restoration) learn(k *Knowledge, now time.Time) bool {
+	if !s.isSettling() {
+		*s = restoration{
+			removed:    map[core.UpstreamName]core.Incarnation{},
+			zones:      slices.Clone(k.Zones),
+			graceUntil: now.Add(k.RemainingGrace.Duration()),
+			settledAt:  now.Add(k.Remaining.Duration()),
+		}
+	}
+	isNew := false
+	for name, incarnation := range k.Ended {
+		if last, ok := s.removed[name]; !ok || last < incarnation {
+			s.removed[name], isNew = incarnation, true
+		}
+	}
+	return isNew
+}
+
 // isGrace reports whether the operator and live upstreams may still have to write again.
 func (s *restoration) isGrace(now time.Time) bool {
 	return now.Before(s.graceUntil)
 }
 
 // recordListed records which upstreams the store has listed since the restore, by a list
-// without outdated entries. The lists of other hosts that retain upstreams do not tell.
+// without outdated entries. The lists of other hosts that retain upstreams, or were not read
+// since the restore, do not tell.
 func (s *restoration) recordListed(corrected *Upstreams, now time.Time) {
-	if !s.isGrace(now) || corrected.MayIncludeExpired {
+	if !s.isGrace(now) || corrected.MayIncludeExpired || corrected.Revision == 0 {
 		return
 	}
-	if s.listed == nil {
-		s.listed = make(map[core.UpstreamName]bool, len(corrected.List))
-	}
 	for _, u := range corrected.List {
-		s.listed[u.Name] = true
+		s.markListed(u.Name)
+	}
+}
+
+// markListed records that the store has listed an upstream since the restore.
+func (s *restoration) markListed(name core.UpstreamName) {
+	if s.listed == nil {
+		s.listed = map[core.UpstreamName]bool{}
 	}
+	s.listed[name] = true
 }
 
 // isMissed reports whether an upstream that the store does not list may be missing because of
@@ -167,9 +193,9 @@
 		}
 		switch {
 		case u.Draining:
-			s.removed[u.Name] = u.Incarnation
+			s.removed[u.Name] = max(s.removed[u.Name], u.Incarnation)
 		case u.Incarnation > 0:
-			s.removed[u.Name] = u.Incarnation - 1
+			s.removed[u.Name] = max(s.removed[u.Name], u.Incarnation-1)
 		}
 	}
 }
@@ -186,9 +212,10 @@
 
 // retainZones returns the given list with the evacuated zones that the operator may still have
 // to write again. A zone that the store has listed since the restore is no longer retained; in
-// the settling list of another host it may stand only because that host retains it.
+// the settling list of another host it may stand only because that host retains it, and a list
+// that was not read since the restore does not tell.
 func (s *restoration) retainZones(listed *Evacuations, mayBeMissing bool) *Evacuations {
-	if !listed.IsSettling {
+	if !listed.IsSettling && listed.Revision > 0 {
 		s.zones = slices.DeleteFunc(s.zones, func(zone core.ZoneName) bool { return slices.Contains(listed.Zones, zone) })
 	}
 	if !mayBeMissing {
--- a/core/replicator/restored_model_test.go
+++ b/core/replicator/restored_model_test.go
@@ -43,6 +43,8 @@
 	writes  []pendingWrite
 	answers []replicator.Snapshot
 	hosts   []*drillHost
+	// starter is a host that starts in between and reads the store at each step; nil before.
+	starter *replicator.Replicator
 }
 
 // pendingWrite is a write to the store that is made at a later time.
@@ -77,7 +79,8 @@
 // store, one of them at each step, and one follows either of them. Until its copy has
 // settled, no host lists an upstream as ready that it held as draining or saw ending, and
 // the host that reads at each step never loses a live upstream nor an evacuation. Afterwards
-// each copy equals the store. Late answers of an earlier era or revision change nothing.
+// each copy equals the store. Late answers of an earlier era or revision change nothing. A
+// host that starts in between holds, once told, what the host holds that was there before.
 func TestRestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := &drill{t: t, now: start, processes: map[string]core.Upstream{}, hasEnded: map[string]bool{}}
@@ -91,6 +94,7 @@
 			d.advance(time.Duration(rapid.IntRange(0, int(maxStep.Milliseconds())).Draw(t, "ms")) * time.Millisecond)
 			d.act()
 			d.read(d.hosts[0])
+			d.readAsStarter()
 			d.check()
 		}
 		for range 40 { // until every write has been made and every copy has settled
@@ -98,6 +102,7 @@
 			d.read(d.hosts[0])
 			d.read(d.hosts[1])
 			d.follow(d.hosts[0])
+			d.readAsStarter()
 			d.check()
 		}
 		for _, h := range d.hosts {
@@ -121,6 +126,9 @@
 	for _, h := range d.hosts {
 		d.settle(h)
 	}
+	if d.starter != nil {
+		d.starter.Settle(d.now)
+	}
 }
 
 // settle makes the periodic step of a host. What the host then no longer retains need not
@@ -159,7 +167,7 @@
 func (d *drill) act() {
 	name := fmt.Sprint("u-", rapid.IntRange(0, 4).Draw(d.t, "upstream"))
 	isAlive := d.processes[name].Incarnation > 0 && !d.hasEnded[name]
-	actions := []string{"start", "start", "drain", "stop", "crash", "cool", "evacuate", "restore", "read", "follow", "late", "other"}
+	actions := []string{"start", "start", "drain", "stop", "crash", "cool", "evacuate", "restore", "read", "follow", "late", "other", "begin"}
 	switch rapid.SampledFrom(actions).Draw(d.t, "action") {
 	case "start":
 		if !isAlive {
@@ -195,6 +203,11 @@
 	case "other":
 		// The store answers a call about something else than upstreams.
 		d.respond(d.hosts[rapid.IntRange(1, 2).Draw(d.t, "host")])
+	case "begin":
+		d.starter = &replicator.Replicator{}
+		if rapid.Bool().Draw(d.t, "told first") {
+			d.tell()
+		}
 	case "late":
 		h := d.hosts[rapid.IntRange(0, 2).Draw(d.t, "host")]
 		d.answerLate(h, d.answers[rapid.IntRange(0, len(d.answers)-1).Draw(d.t, "answer")])
@@ -286,7 +299,8 @@
 	if h.Snapshot().Era > before {
 		h.confirmed = time.Time{}
 	}
-	isSettling := update.Upstreams != nil && update.Upstreams.IsSettling && h.hasSettled()
+	isHolding := update.Upstreams != nil && update.Upstreams.IsSettling || update.Knowledge != nil && update.Knowledge.IsSettling
+	isSettling := isHolding && h.hasSettled()
 	if h.Snapshot().Era > before && hasContents || isSettling {
 		h.settled = d.now.Add(settleTime)
 	}
@@ -304,6 +318,33 @@
 	}
 }
 
+// readAsStarter lets the starter read the store, and tells it what it may lack. It then must
+// hold what the host does that was there before.
+func (d *drill) readAsStarter() {
+	if d.starter == nil {
+		return
+	}
+	update := d.store.list()
+	update.Evacuations = &replicator.Evacuations{Revision: d.store.revision, Zones: d.store.zones()}
+	d.starter.ApplyUpdate(update, d.now)
+	d.starter.ConfirmUpstreams(d.store.era, d.now)
+	d.starter.RecordStoreResponse(d.now)
+	d.starter.Settle(d.now)
+	if d.starter.LacksKnowledge() && d.hosts[0].HasKnowledge() {
+		d.tell()
+	}
+	known, copied := d.hosts[0].Snapshot(), d.starter.Snapshot()
+	requireListed(d.t, known.Upstreams.List, copied.Upstreams.List)
+	if !slices.Equal(known.Evacuations.Zones, copied.Evacuations.Zones) {
+		d.t.Fatalf("the starter holds the zones %v, the host before %v", copied.Evacuations.Zones, known.Evacuations.Zones)
+	}
+}
+
+// tell gives the starter the full lists of the host that was there before, with what it knows.
+func (d *drill) tell() {
+	d.starter.ApplyUpdate(d.hosts[0].ChangesSince(core.Revisions{Era: d.starter.Held().Era}, d.now), d.now)
+}
+
 // respond records a response of the store to a host.
 func (d *drill) respond(h *drillHost) {
 	if d.now.Sub(h.lastResponse) > outageTime {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -84,6 +84,8 @@
 	// UpstreamsAge is the time since the store last confirmed the host's list of upstreams in
 	// the era of Revisions, at least 1; 0 if it did not or the host does not tell.
 	UpstreamsAge core.Milliseconds `cbor:"11,keyasint,omitempty"`
+	// HasKnowledge says that the host still holds what it knew before a restore of the store.
+	HasKnowledge bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
@@ -346,6 +348,26 @@
 	return newest.host, true
 }
 
+// PeerWithKnowledge returns a live host that still holds what it knew before the given era of the
+// store, and that started before this one. Hosts that ask are spread over those that know. It
+// returns false if there is none.
+func (r *Roster) PeerWithKnowledge(era core.Era, now time.Time) (core.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var chosen *member
+	weight := func(m *member) uint64 { return core.RendezvousWeight(string(r.Self.Name), string(m.host.Name)) }
+	for _, m := range r.live(now) {
+		isKnowing := m.heartbeat.HasKnowledge && m.heartbeat.Revisions.Era == era && m.host.Incarnation < r.Self.Incarnation
+		if isKnowing && (chosen == nil || weight(m) > weight(chosen)) {
+			chosen = m
+		}
+	}
+	if chosen == nil {
+		return core.Host{}, false
+	}
+	return chosen.host, true
+}
+
 // live returns the members whose heartbeats arrive. The caller holds Roster.mu.
 func (r *Roster) live(now time.Time) []*member {
 	s := r.schedule()
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -152,6 +152,7 @@
 		OnChange:                  c.apply,
 		OnRestore:                 c.handleStoreRestored,
 		UpstreamHeartbeatInterval: c.Bounds.UpstreamHeartbeatInterval,
+		IsFirstStart:              c.IsFirstStart,
 	}
 	c.pacer = &pacer.Pacer{Self: c.Self.Name, RateMultiplier: c.Bounds.WarmUpRateMultiplier, Burst: c.Bounds.WarmUpBurst}
 	c.placer = &placer.Placer{
@@ -217,6 +218,7 @@
 	}()
 	group.Go(func() { c.exchangeHeartbeats(background) })
 	group.Go(func() { c.runPeriodicTasks(background) })
+	group.Go(func() { c.learnFromPeers(background) })
 	group.Go(func() { c.preconnect(background) })
 	group.Go(func() { c.checkSuspects(background) })
 	group.Go(func() { c.checkLocalRegion(background) })
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -174,6 +174,7 @@
 	storeAge, isReached := c.storeStatus.timeSinceReached(now)
 	heartbeat.ReadsStore = isReached && c.currentReadMode() == ReadAll
 	heartbeat.StoreAge = core.MillisecondsOf(storeAge)
+	heartbeat.HasKnowledge = c.replicator.HasKnowledge()
 	if confirmed := c.replicator.UpstreamsConfirmed(); !confirmed.IsZero() {
 		heartbeat.UpstreamsAge = max(core.MillisecondsOf(now.Sub(confirmed)), 1)
 	}
--- a/entry/controller/restore_test.go
+++ b/entry/controller/restore_test.go
@@ -143,3 +143,46 @@
 	is.True(isDraining(now))
 	is.True(!isDraining(late))
 }
+
+// TestHostLearnsOfTimeBeforeRestore guards against requests to an upstream that drains, on a host
+// that started shortly before or after a restore and reads from the store that the upstream is
+// ready: it must ask a seed when it starts, or a host that says that it knows more.
+func TestHostLearnsOfTimeBeforeRestore(t *testing.T) {
+	for _, hasSeed := range []bool{false, true} {
+		t.Run(map[bool]string{false: "from a peer", true: "from a seed"}[hasSeed], func(t *testing.T) {
+			is := is.New(t)
+			upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Incarnation: 1}
+			draining := upstream
+			draining.Draining = true
+			knowing, starter := newController("knowing", draining), newBareController("starter")
+			starter.IsFirstStart, starter.Self.Incarnation = false, knowing.Self.Incarnation+1
+			starter.Init()
+			for _, c := range []*Controller{knowing, starter} {
+				c.ApplyUpdate(restoredLists(upstream), time.Now())
+			}
+			is.True(!starter.replicator.Snapshot().Upstreams.List[0].Draining)
+			address := serveSnapshots(t, knowing)
+			starter.SnapshotAddress = func(core.Host) string { return address }
+			if hasSeed {
+				starter.SetSeeds([]string{"127.0.0.1:1", address})
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				starter.learnFromPeers(ctx)
+			}()
+			for start := time.Now(); !starter.replicator.Snapshot().Upstreams.List[0].Draining; time.Sleep(time.Millisecond) {
+				if time.Since(start) > 10*time.Second {
+					t.Fatal("the host has not learnt that the upstream drains")
+				}
+				if !hasSeed {
+					receiveHeartbeats(starter, knowing.newHeartbeat())
+				}
+			}
+			stop()
+			<-done
+			is.True(!starter.replicator.LacksKnowledge())
+		})
+	}
+}
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -177,6 +177,46 @@
 	}
 }
 
+// learnFromPeers fetches what other hosts knew before a restore of the store, where this host
+// may know less: from the seeds when the host starts, and else from hosts that say that they
+// know.
+func (c *Controller) learnFromPeers(ctx context.Context) {
+	if !c.IsFirstStart {
+		c.learnFromSeeds(ctx)
+	}
+	waiter.Every(ctx, followInterval, func(now time.Time) {
+		if !c.replicator.LacksKnowledge() || c.SnapshotAddress == nil {
+			return
+		}
+		if peer, ok := c.roster.PeerWithKnowledge(c.replicator.Held().Era, now); ok {
+			c.learnFrom(c.SnapshotAddress(peer))
+		}
+	})
+}
+
+// learnFromSeeds asks the seeds until one of them answers.
+func (c *Controller) learnFromSeeds(ctx context.Context) {
+	for _, address := range *c.seeds.Load() {
+		if ctx.Err() != nil || c.learnFrom(address) {
+			return
+		}
+	}
+}
+
+// learnFrom fetches the full lists of another host, with what it knew before a restore, and
+// reports whether it answered.
+func (c *Controller) learnFrom(address string) bool {
+	// A host of an earlier era answers only if this one names none.
+	held := core.Revisions{Policy: c.replicator.Held().Policy}
+	update, err := c.fetcher.Fetch(address, held, c.Bounds.fetchTimeout())
+	if err != nil {
+		c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
+		return false
+	}
+	c.replicator.ApplyUpdate(update, time.Now())
+	return true
+}
+
 // snapshotSources returns the addresses of hosts that may serve a newer snapshot.
 func (c *Controller) snapshotSources(now time.Time) []string {
 	if !c.replicator.Snapshot().IsComplete() {
