Show upstreams that drain in the history of a request

The last line 515 of each upstream is now part of the host's state, as with rate limits.

TestLeavingUpstreamsAreExplained failed before (0 lines, not 2).

--- a/operator/explainer/explainer.go
+++ b/operator/explainer/explainer.go
@@ -28,17 +28,21 @@
 
 // stateEvents names the events that report a change of a host's state: its phase,
 // its routing policy, its lists of evacuated zones and of upstreams, its access to
-// the platform's store, its cold upstreams, and the rate limits of upstreams.
+// the platform's store, its cold upstreams, the rate limits of upstreams, and upstreams
+// that said that they drain.
 var stateEvents = []string{
 	"host-started", "host-ready", "host-leaving",
 	"policy-applied", "evacuations-applied", "upstreams-applied",
 	"platform-lost", "platform-found", "reader-followed", "store-read",
-	"upstream-cold", limitEvent,
+	"upstream-cold", limitEvent, leavingEvent,
 }
 
-// limitEvent names the event of the rate limit of an upstream. The state of a host has the
-// latest one of each upstream.
-const limitEvent = "upstream-limited"
+// limitEvent names the event of the rate limit of an upstream, and leavingEvent that of an
+// upstream that drains. The state of a host has the latest one of each upstream.
+const (
+	limitEvent   = "upstream-limited"
+	leavingEvent = "upstream-said-leaving"
+)
 
 // commonFields names the fields that every event has. They are not repeated in
 // Event.Fields.
@@ -106,7 +110,7 @@
 // stateKey identifies what a state event is about: a later event with the same key
 // replaces it.
 func stateKey(event Event) string {
-	if event.Name != limitEvent {
+	if event.Name != limitEvent && event.Name != leavingEvent {
 		return event.Name
 	}
 	return event.Name + " " + stringField(event.Fields, "upstream")
--- a/operator/explainer/explainer_test.go
+++ b/operator/explainer/explainer_test.go
@@ -61,3 +61,19 @@
 	is.Equal(state[0].Fields, map[string]any{"upstream": "i-1", "limit": 8.0})
 	is.Equal(state[1].Fields, map[string]any{"upstream": "i-2", "limit": 2.0})
 }
+
+// TestLeavingUpstreamsAreExplained guards against a request that went elsewhere since several
+// upstreams drain, of which the history does not tell.
+func TestLeavingUpstreamsAreExplained(t *testing.T) {
+	is := is.New(t)
+	log := `{"event":515,"name":"upstream-said-leaving","host":"host-1","upstream":"i-1","source":"","time":"2026-07-20T04:35:10.000Z"}
+{"event":515,"name":"upstream-said-leaving","host":"host-1","upstream":"i-2","source":"host-2","time":"2026-07-20T04:35:11.000Z"}
+{"event":504,"name":"request-refused","host":"host-1","request":"q-1","cause":"no-room","time":"2026-07-20T04:35:12.000Z"}
+`
+	history, err := explainer.Explain("q-1", []io.Reader{strings.NewReader(log)})
+	is.NoErr(err)
+	state := history.StateEvents["host-1"]
+	is.Equal(len(state), 2)
+	is.Equal(state[0].Fields, map[string]any{"upstream": "i-1", "source": ""})
+	is.Equal(state[1].Fields, map[string]any{"upstream": "i-2", "source": "host-2"})
+}
