--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -183,7 +183,19 @@
 		MaxConnections:   c.maxConnections,
 		OnLeaving:        c.recordLeaving,
 	}
-	c.forwarder = &forwarder.Forwarder{
+	c.forwarder = c.newForwarder()
+	c.seeds.Store(&c.Seeds)
+	c.gracePeriod.Store(int64(c.Bounds.GracePeriod))
+	if c.IsFirstStart && c.SetReadMode != nil {
+		c.readMode.Store(int32(ReadNone))
+		c.SetReadMode(ReadNone)
+	}
+	c.registerGauges()
+}
+
+// newForwarder returns the forwarder of a host whose other parts exist.
+func (c *Controller) newForwarder() *forwarder.Forwarder {
+	return &forwarder.Forwarder{
 		HeaderNames:     c.ClientHeaderNames,
 		Placer:          c.placer,
 		RetryBudget:     c.retryBudget,
@@ -198,13 +210,6 @@
 		OnFailure:       c.recordFailure,
 		OnAcceptError:   c.recordAcceptError,
 	}
-	c.seeds.Store(&c.Seeds)
-	c.gracePeriod.Store(int64(c.Bounds.GracePeriod))
-	if c.IsFirstStart && c.SetReadMode != nil {
-		c.readMode.Store(int32(ReadNone))
-		c.SetReadMode(ReadNone)
-	}
-	c.registerGauges()
 }
 
 // Run serves clients until ctx ends, then performs a graceful stop.
