--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -84,7 +84,7 @@
 	RequestOutcomeUnknown  = Event{502, "request-outcome-unknown", zerolog.WarnLevel, "It is unknown whether an upstream ran a request."}
 	RequestRetried         = Event{503, "request-retried", zerolog.WarnLevel, "A request is retried."}
 	UpstreamFailed         = Event{511, "upstream-failed", zerolog.WarnLevel, "A client received an upstream's own error response."}
-	RequestCut             = Event{518, "request-cut", zerolog.WarnLevel, "The host ended before the whole response to a request that it had read."}
+	RequestCut             = Event{518, "request-cut", zerolog.WarnLevel, "The host ended before the whole response to a request was there."}
 	RequestRefused         = Event{504, "request-refused", zerolog.WarnLevel, "The host answered a request with an error of its own."}
 
 	UpstreamUnreadable = Event{505, "upstream-unreadable", zerolog.WarnLevel, "An upstream's registration is invalid; it gets no requests."}
