--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -83,7 +83,7 @@
 	NeedsShares bool `cbor:"10,keyasint,omitempty"`
 	// Leaving holds the incarnations of some upstreams that announced in a response, to this
 	// host or another one, that they drain.
-	Leaving map[core.UpstreamName]core.Incarnation `cbor:"11,keyasint,omitempty"`
+	Leaving map[core.UpstreamName]core.Incarnation `cbor:"13,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
