Divide the connections of upstreams that take fewer than there are hosts

Cause: a host's share of an upstream's connections was at least one, so that 1,300 hosts could open 1,300 connections to an upstream that takes 390. An upstream resets connections beyond its limit, and callers would have seen the requests on them fail.

Change: where nine tenths of a service's connections are fewer than the hosts, the new package core/subsetter selects for each upstream at most as many hosts as it has connections for. Each host first takes one upstream, of its own region if one is left, so that none is without while there are as many connections as hosts; the rest goes to the hosts with the highest rendezvous scores. The placer chooses only selected upstreams, and a host that has none refuses with the cause no-connections. MaxConnections of the exchanger now takes the upstream, and 0 means none; idle connections beyond the limit are closed, and a health check, which one host makes for all, still may open a connection. Services with enough connections are not affected.

Evidence: TestConnectionsOverManyHosts failed before ("not true: hosts*c.maxConnections ... <= maxConnections"). It multiplied the share of one host that knew no other; a share may now be 0 or 1, so it sums the shares of all 11, 295 and 1,300 hosts, each with its own lists, and also requires that each host may connect somewhere and chooses only such upstreams. Each other new test failed with the line that it covers taken out (nine mutations, all failed). TestListsDiffer passed 1,500 checks: while lists of hosts differ by k hosts and j upstreams, an upstream is selected by at most k + 5j hosts too many; a trial of 40 plays of each of 63 shapes saw at most 6 (2 upstreams of 12 and 6 hosts of 120). One host or one upstream less of 200 and 40 changed 3 and 13 of 1,200 selections.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -70,14 +70,20 @@
 	return u.inFlight < 1+int(progress*float64(u.slots()))
 }
 
-// isEligible reports whether the upstream may get requests at all: it does not drain and
-// its zone is not evacuated.
+// isEligible reports whether the upstream may get requests of this host at all: it takes
+// requests and is not left to other hosts.
 func (p *Placer) isEligible(u *upstream) bool {
+	return !u.isUnassigned && p.takesRequests(u)
+}
+
+// takesRequests reports whether the upstream may get requests of any host: it does not drain
+// and its zone is not evacuated.
+func (p *Placer) takesRequests(u *upstream) bool {
 	return !u.isLeaving() && !p.evacuated[u.Zone]
 }
 
-// isReachable reports whether this host may contact the upstream outside of requests, for a
-// health check or to prepare a connection.
+// isReachable reports whether this host may contact the upstream outside of requests, to
+// prepare a connection or to check an upstream that it uses.
 func (p *Placer) isReachable(u *upstream, now time.Time) bool {
 	return p.isEligible(u) && !u.isEjected(now) && !u.isClosed(now)
 }
--- a/core/placer/cold.go
+++ b/core/placer/cold.go
@@ -33,15 +33,16 @@
 	return list
 }
 
-// LocalUpstreams returns the upstreams of the host's own region that are eligible for
-// requests: not draining, not in an evacuated zone, not ejected as unreachable, and not
-// closed by a Retry-After of their own.
+// LocalUpstreams returns the upstreams of the host's own region that take requests: not
+// draining, not in an evacuated zone, not ejected as unreachable, and not closed by a
+// Retry-After of their own. Those that are left to other hosts are included, since each
+// upstream is checked by one host only.
 func (p *Placer) LocalUpstreams(now time.Time) []core.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []core.Upstream
 	for _, u := range p.upstreams {
-		if u.region == p.Zone.Region && p.isReachable(u, now) {
+		if u.region == p.Zone.Region && p.takesRequests(u) && !u.isEjected(now) && !u.isClosed(now) {
 			list = append(list, u.Upstream)
 		}
 	}
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -84,6 +84,8 @@
 		s.members = s.members[:0]
 	}
 	for _, u := range p.upstreams {
+		subset, isSubset := p.subsets[u.Service]
+		u.isUnassigned = isSubset && !subset[u.Name]
 		s := p.services[u.Service]
 		if s == nil {
 			s = &service{}
@@ -99,8 +101,28 @@
 	}
 }
 
-// eligibleByRegion groups the members that are eligible for requests, neither
-// draining nor in an evacuated zone, by region.
+// SetSubsets sets the upstreams that this host may use, for the services whose upstreams are
+// divided between hosts (package subsetter). It may use all upstreams of other services. The
+// caller must not change the maps afterwards.
+func (p *Placer) SetSubsets(subsets map[core.ServiceName]map[core.UpstreamName]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.subsets = subsets
+	p.groupByService()
+}
+
+// isLeftToOthers reports whether all upstreams that could run the request are left to other
+// hosts. The caller holds Placer.mu.
+func (p *Placer) isLeftToOthers(s *service, query Query) bool {
+	if slices.ContainsFunc(s.regions, func(r *region) bool { return query.allowsRegion(r.name) }) {
+		return false
+	}
+	return slices.ContainsFunc(s.members, func(u *upstream) bool {
+		return u.isUnassigned && p.takesRequests(u) && query.allowsRegion(u.region)
+	})
+}
+
+// eligibleByRegion groups the members that are eligible for requests of this host by region.
 func (p *Placer) eligibleByRegion(members []*upstream) []*region {
 	var regions []*region
 	for _, u := range members {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -72,6 +72,9 @@
 	// again with the same incarnation keeps its state.
 	removed   map[core.UpstreamName]*upstream
 	evacuated map[core.ZoneName]bool
+	// subsets holds the upstreams that this host may use, for services in which it may not
+	// use all.
+	subsets map[core.ServiceName]map[core.UpstreamName]bool
 	// lastThrottled is when the warm-up limit last kept a request from any upstream.
 	lastThrottled time.Time
 	// use is what the host did with its shares in rate limits since the last call of TakeUse.
@@ -125,8 +128,8 @@
 	return len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, region)
 }
 
-// Choice is the upstream selected for one attempt. If none was selected, only IsThrottled
-// and Room are meaningful.
+// Choice is the upstream selected for one attempt. If none was selected, only IsThrottled,
+// ReopensIn, IsLeftToOthers and Room are meaningful.
 type Choice struct {
 	Upstream core.Upstream
 	Region   core.RegionName
@@ -142,6 +145,9 @@
 	// ReopensIn is set, when no upstream was selected, if all want no requests for a time
 	// that they stated. It is the time until the first of them takes requests again.
 	ReopensIn time.Duration
+	// IsLeftToOthers is set, when no upstream was selected, if all that could run the request
+	// are left to other hosts (SetSubsets).
+	IsLeftToOthers bool
 	// Room is set if rate limits prevented the selection.
 	Room *Room
 	// IsMoved reports that the attempt goes to another upstream because of a rate limit or
@@ -186,7 +192,12 @@
 		room := p.room(s, query, now)
 		p.recordShortage(room, now)
 		opensIn, isReturning := p.reopening(s, query, now)
-		return Choice{IsThrottled: isReturning || room != nil && room.Rate > 0, Room: room, ReopensIn: opensIn}, false
+		return Choice{
+			IsThrottled:    isReturning || room != nil && room.Rate > 0,
+			Room:           room,
+			ReopensIn:      opensIn,
+			IsLeftToOthers: p.isLeftToOthers(s, query),
+		}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -38,6 +38,8 @@
 	core.Upstream
 	availability
 	region core.RegionName
+	// isUnassigned says that SetSubsets leaves the upstream to other hosts.
+	isUnassigned bool
 	// hash is the hash of the name, for rendezvous hashing.
 	hash uint64
 	// coldUntil is the end of a warm-up that the upstream or another host announced.
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -124,6 +124,7 @@
 	policy      atomic.Pointer[core.RoutingPolicy]
 	// sharingHosts is the number of hosts that shared limits are divided over.
 	sharingHosts atomic.Int64
+	subsets      subsets
 	// lender is used by lendShares only. loanSteps is what this host lends of its shares
 	// in rate limits (roster.Heartbeat.LoanSteps).
 	lender      pacer.Lender
@@ -304,19 +305,3 @@
 func (c *Controller) Snapshot(held core.Revisions, now time.Time) ([]byte, error) {
 	return c.snapshotCache.encode(c.replicator, held, now)
 }
-
-// maxConnections returns this host's share of the connections to one upstream of a
-// service; 0 means no limit.
-func (c *Controller) maxConnections(service core.ServiceName) int {
-	// The rest is reserved for hosts that this host does not know of yet.
-	const sharedFraction = 0.9
-	policy := c.policy.Load()
-	if policy == nil {
-		return 1
-	}
-	total := sharedFraction * float64(policy.Services[service].MaxConnections)
-	if total == 0 {
-		return 0
-	}
-	return max(int(total)/max(int(c.sharingHosts.Load()), 1), 1)
-}
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -136,6 +136,7 @@
 func (c *Controller) divideSharedLimits(now time.Time) {
 	c.roster.SetPartitioned(!c.storeStatus.isSnapshotCurrent(now), now)
 	sharingHosts := c.roster.SharingHosts(now)
+	c.updateSubsets(sharingHosts)
 	c.sharingHosts.Store(int64(len(sharingHosts)))
 	c.retryBudget.SetHosts(len(sharingHosts))
 	if c.replicator.Snapshot().Hosts != nil {
--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -25,7 +25,8 @@
 	now := time.Now()
 	conn, _ := e.pool.take(endpointOf(upstream), now)
 	if conn == nil {
-		opened, err := e.open(upstream, timeout, now)
+		// One host checks an upstream, and it need not be one of those that send requests to it.
+		opened, err := e.open(upstream, max(e.maxConnections(upstream), 1), timeout, now)
 		if err != nil {
 			return Health{}, core.ErrPeer.Wrap(err, "health check of %s", upstream.Name)
 		}
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -133,6 +134,9 @@
 	}
 }
 
+// Unlimited is a result of Exchanger.MaxConnections.
+const Unlimited = math.MaxInt
+
 // Exchanger sends requests to upstreams over a connection pool.
 type Exchanger struct {
 	HeaderNames HeaderNames
@@ -145,9 +149,9 @@
 	// MaxBufferedBytes limits the bytes of all responses that are in memory at one time; 0
 	// means no limit. An attempt whose response exceeds it fails.
 	MaxBufferedBytes core.Bytes
-	// MaxConnections returns how many connections this host may have open to one
-	// upstream of a service; a result of 0, or nil, means no limit.
-	MaxConnections func(service core.ServiceName) int
+	// MaxConnections returns how many connections this host may have open to an upstream,
+	// Unlimited if there is no limit; nil means no limit. It must not call the Exchanger.
+	MaxConnections func(upstream core.Upstream) int
 
 	pool     pool
 	buffered budgeter.Budget
@@ -236,7 +240,7 @@
 	if timeout <= 0 {
 		return nil, notSent(placer.Abandoned, "deadline exceeded before connecting")
 	}
-	conn, err := e.open(attempt.Upstream, timeout, now)
+	conn, err := e.open(attempt.Upstream, e.maxConnections(attempt.Upstream), timeout, now)
 	if err == nil {
 		conn.isReplacement = wasClosed
 	}
@@ -253,14 +257,17 @@
 // upstream as MaxConnections allows.
 var errConnectionLimit = errors.New("connection limit reached")
 
-// open opens a connection if this host's share of the upstream's connection limit
-// allows it.
-func (e *Exchanger) open(upstream core.Upstream, timeout time.Duration, now time.Time) (*connection, error) {
-	limit := 0
-	if e.MaxConnections != nil {
-		limit = e.MaxConnections(upstream.Service)
+// maxConnections returns this host's share of the upstream's connection limit.
+func (e *Exchanger) maxConnections(upstream core.Upstream) int {
+	if e.MaxConnections == nil {
+		return Unlimited
 	}
-	if !e.pool.reserve(endpointOf(upstream), limit) {
+	return e.MaxConnections(upstream)
+}
+
+// open opens a connection unless the limit or more are open.
+func (e *Exchanger) open(upstream core.Upstream, limit int, timeout time.Duration, now time.Time) (*connection, error) {
+	if !e.pool.reserve(upstream, limit) {
 		return nil, errConnectionLimit
 	}
 	raw, err := e.Dial("tcp", upstream.Address, timeout)
@@ -283,7 +290,7 @@
 		return nil
 	}
 	now := time.Now()
-	conn, err := e.open(upstream, timeout, now)
+	conn, err := e.open(upstream, e.maxConnections(upstream), timeout, now)
 	if err != nil {
 		return err
 	}
--- a/entry/exchanger/exchanger_test.go
+++ b/entry/exchanger/exchanger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -370,7 +371,7 @@
 		_, _ = io.WriteString(conn, okResponse)
 	})
 	e := newExchanger()
-	e.MaxConnections = func(core.ServiceName) int { return 1 }
+	e.MaxConnections = func(core.Upstream) int { return 1 }
 	first := make(chan exchanger.Result)
 	go func() { first <- e.Do(t.Context(), attempt(upstream, "")) }()
 	time.Sleep(50 * time.Millisecond)
@@ -425,3 +426,29 @@
 	e.Close()
 	<-oldClosed
 }
+
+// TestFewerConnectionsAllowed checks what happens when the share of a connection limit
+// shrinks to none: idle connections are closed, attempts are shed, and a health check, which
+// one host makes on behalf of all, still runs.
+func TestFewerConnectionsAllowed(t *testing.T) {
+	is := is.New(t)
+	isClosed := make(chan bool, 1)
+	upstream := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		reply(okResponse)(conn, r)
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		_, err := r.ReadByte()
+		isClosed <- errors.Is(err, io.EOF)
+	}, reply(strings.Replace(okResponse, "\r\n", "\r\nInstance: u-1\r\n", 1)))
+	limit := 2
+	e := newExchanger()
+	e.MaxConnections = func(core.Upstream) int { return limit }
+	result := e.Do(t.Context(), attempt(upstream, ""))
+	result.Close()
+	limit = 0
+	e.CloseExpiredConnections(time.Now())
+	is.True(<-isClosed)
+	result = e.Do(t.Context(), attempt(upstream, ""))
+	is.Equal(result.Report.Outcome, placer.Shed)
+	_, err := e.CheckHealth(upstream, "/health", time.Second)
+	is.NoErr(err)
+}
--- a/entry/exchanger/pool.go
+++ b/entry/exchanger/pool.go
@@ -122,6 +122,7 @@
 
 // endpointPool holds the idle connections to one endpoint.
 type endpointPool struct {
+	upstream core.Upstream
 	// idle is ordered by the time at which the connections became idle.
 	idle []*connection
 	// open counts all open connections, idle or in use.
@@ -161,19 +162,23 @@
 }
 
 // reserve counts a connection that is about to be opened. It returns false if
-// that would exceed the limit; 0 means no limit.
-func (p *pool) reserve(target endpoint, limit int) bool {
+// that would exceed the limit.
+func (p *pool) reserve(upstream core.Upstream, limit int) bool {
+	if limit <= 0 {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.endpoints == nil {
 		p.endpoints = map[endpoint]*endpointPool{}
 	}
+	target := endpointOf(upstream)
 	connections := p.endpoints[target]
 	if connections == nil {
-		connections = &endpointPool{}
+		connections = &endpointPool{upstream: upstream}
 		p.endpoints[target] = connections
 	}
-	if limit > 0 && connections.open >= limit {
+	if connections.open >= limit {
 		return false
 	}
 	connections.open++
@@ -229,18 +234,19 @@
 	}
 }
 
-// CloseExpiredConnections closes the connections that have been idle for too long.
+// CloseExpiredConnections closes the connections that have been idle for too long, and idle
+// ones beyond MaxConnections.
 func (e *Exchanger) CloseExpiredConnections(now time.Time) {
-	for target, connections := range e.pool.removeExpired(now) {
+	for target, connections := range e.pool.removeExpired(e.maxConnections, now) {
 		for _, conn := range connections {
 			e.pool.discard(target, conn)
 		}
 	}
 }
 
-// removeExpired removes the expired idle connections and returns them. They are still
-// open and counted.
-func (p *pool) removeExpired(now time.Time) map[endpoint][]*connection {
+// removeExpired removes the expired idle connections, and the oldest ones beyond the limit
+// of each upstream, and returns them. They are still open and counted.
+func (p *pool) removeExpired(limitOf func(core.Upstream) int, now time.Time) map[endpoint][]*connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	removed := map[endpoint][]*connection{}
@@ -249,6 +255,9 @@
 		for n < len(connections.idle) && !now.Before(connections.idle[n].expires) {
 			n++
 		}
+		if surplus := connections.open - limitOf(connections.upstream); surplus > n {
+			n = min(surplus, len(connections.idle))
+		}
 		if n == 0 {
 			continue
 		}
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -465,3 +465,19 @@
 		})
 	}
 }
+
+// TestUpstreamsLeftToOthers checks that a host that may connect to no upstream refuses
+// requests and says why.
+func TestUpstreamsLeftToOthers(t *testing.T) {
+	is := is.New(t)
+	upstream := &fakeUpstream{response: completeResponse}
+	h := newHost(t, core.Route{Prefix: "/"}, upstream)
+	h.placer.SetSubsets(map[core.ServiceName]map[core.UpstreamName]bool{"desk": {}})
+	c := h.dial(t)
+	c.send("/1")
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.True(len(response.Header.Peek("Retry-After")) > 0)
+	is.Equal(h.lastFailure.Load().Cause, "no-connections")
+}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -67,6 +67,8 @@
 	// reopensIn is the time until the first upstream takes requests again, if none does now
 	// since they asked for a pause, otherwise 0.
 	reopensIn time.Duration
+	// isLeftToOthers says that other hosts hold all connections that the upstreams take.
+	isLeftToOthers bool
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -157,7 +159,7 @@
 	}
 	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
-	r.room, r.reopensIn = choice.Room, choice.ReopensIn
+	r.room, r.reopensIn, r.isLeftToOthers = choice.Room, choice.ReopensIn, choice.IsLeftToOthers
 	if !ok {
 		r.event.Detail = "no upstream is available"
 		return choice, false
@@ -356,6 +358,11 @@
 		r.refuseUntilReopening()
 		return
 	}
+	if r.isLeftToOthers {
+		r.event.Detail = "all connections that the upstreams take are left to other hosts"
+		r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-connections", minRetryAfter)
+		return
+	}
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-room", min(max(r.queueWait/2, minRetryAfter), maxRetryAfter))
 }
 
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -109,6 +109,9 @@
 
 	UpstreamPauseUnreadable = Event{517, "upstream-pause-unreadable", zerolog.WarnLevel, "An upstream stated an invalid Retry-After."}
 
+	UpstreamsDivided = Event{519, "upstreams-divided", zerolog.InfoLevel, "A service's upstreams take fewer connections than there are hosts."}
+	UpstreamsShared  = Event{520, "upstreams-shared", zerolog.InfoLevel, "Each host may connect to all upstreams of a service again."}
+
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
 	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "A policy entry is invalid; the other entries apply."}
@@ -132,7 +135,7 @@
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
-	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable,
+	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamsDivided, UpstreamsShared,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
