--- a/core/placer/closure.go
+++ b/core/placer/closure.go
@@ -5,8 +5,9 @@
 // Closure is why an upstream may not be used now.
 type Closure uint8
 
-// The reasons. Draining and Evacuated keep everything from an upstream, Ejected and Paused
-// everything for a time; the others only space its requests.
+// The reasons. Draining and Evacuated keep everything from an upstream, Unassigned everything
+// but health checks, and Ejected and Paused everything for a time; the others only space its
+// requests.
 const (
 	// Open means that there is no reason.
 	Open Closure = iota
@@ -14,6 +15,9 @@
 	Draining
 	// Evacuated means that the upstream's zone is evacuated.
 	Evacuated
+	// Unassigned means that the upstream takes fewer connections than there are hosts and is
+	// left to others (SetSubsets).
+	Unassigned
 	// Ejected means that this host lately could not reach the upstream.
 	Ejected
 	// Paused means that the upstream wants no requests from this host for a time that it
@@ -30,7 +34,7 @@
 
 // String returns the name of the reason that is written to logs.
 func (c Closure) String() string {
-	names := [...]string{"open", "draining", "evacuated", "ejected", "paused", "returning", "rate-limited", "cold"}
+	names := [...]string{"open", "draining", "evacuated", "unassigned", "ejected", "paused", "returning", "rate-limited", "cold"}
 	if int(c) < len(names) {
 		return names[c]
 	}
@@ -47,8 +51,11 @@
 type purpose uint8
 
 const (
-	// toContact is a health check or a connection that is opened in advance.
-	toContact purpose = iota
+	// toCheck is a health check that one host makes for all.
+	toCheck purpose = iota
+	// toContact is a connection that is opened in advance, or a health check of an upstream
+	// that this host uses.
+	toContact
 	// toSend is an attempt of a request.
 	toSend
 	// toSendAnyway is an attempt of a request that no upstream may get which this host could
@@ -56,11 +63,16 @@
 	toSendAnyway
 )
 
+// isRequest reports whether the purpose is a request of a client.
+func (p purpose) isRequest() bool {
+	return p == toSend || p == toSendAnyway
+}
+
 // closure returns why the upstream may not be used now, Open if it may, and when that ends by
 // itself; the time is zero if that is not known. The warm-up limit is not included, since an
 // attempt has to be counted against it: see admit. The caller holds Placer.mu.
 func (p *Placer) closure(u *upstream, use purpose, now time.Time) (Closure, time.Time) {
-	if u.excluded != Open {
+	if u.excluded != Open && (use != toCheck || u.excluded != Unassigned) {
 		return u.excluded, time.Time{}
 	}
 	if use != toSendAnyway && u.isEjected(now) {
@@ -71,7 +83,7 @@
 			return reason, until
 		}
 	}
-	if use == toContact || !u.limit.InForce {
+	if !use.isRequest() || !u.limit.InForce {
 		return Open, time.Time{}
 	}
 	return p.rateClosure(u, now)
@@ -91,6 +103,8 @@
 		return Draining
 	case p.evacuated[u.Zone]:
 		return Evacuated
+	case p.isUnassigned(u):
+		return Unassigned
 	default:
 		return Open
 	}
@@ -102,7 +116,7 @@
 	if u.isPaused(now) {
 		return Paused, u.closedUntil
 	}
-	if until := u.returnsAt(now); use != toContact && now.Before(until) {
+	if until := u.returnsAt(now); use.isRequest() && now.Before(until) {
 		return Returning, until
 	}
 	return Open, time.Time{}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -76,6 +76,9 @@
 	departures departures
 	// leavingRound counts the calls of LeavingNotices.
 	leavingRound int
+	// subsets holds the upstreams that this host may use, for services in which it may not
+	// use all.
+	subsets map[core.ServiceName]map[core.UpstreamName]bool
 	// lastThrottled is when the warm-up limit last kept a request from any upstream.
 	lastThrottled time.Time
 	// use is what the host did with its shares in rate limits since the last call of TakeUse.
@@ -131,8 +134,8 @@
 	return len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, region)
 }
 
-// Choice is the upstream selected for one attempt. If none was selected, only IsThrottled
-// and Room are meaningful.
+// Choice is the upstream selected for one attempt. If none was selected, only IsThrottled,
+// ReopensIn, IsLeftToOthers and Room are meaningful.
 type Choice struct {
 	Upstream core.Upstream
 	Region   core.RegionName
@@ -145,6 +148,9 @@
 	// cold or returning upstreams or rate limits prevented it, so that another call of
 	// Choose may soon succeed.
 	IsThrottled bool
+	// IsLeftToOthers is set, when no upstream was selected, if all that could run the request
+	// are left to other hosts (SetSubsets).
+	IsLeftToOthers bool
 	// Room is set if what upstreams asked for prevented the selection.
 	Room *Room
 	// MovedFrom is the upstream that would have got the attempt, if its rate limit or its
@@ -189,7 +195,11 @@
 	if len(candidates.list) == 0 {
 		room := p.room(s, query, now)
 		p.recordShortage(room, now)
-		return Choice{IsThrottled: room != nil && room.Reason != Paused && room.Rate > 0, Room: room}, false
+		return Choice{
+			IsThrottled:    room != nil && room.Reason != Paused && room.Rate > 0,
+			Room:           room,
+			IsLeftToOthers: p.isLeftToOthers(s, query),
+		}, false
 	}
 	return p.pick(s, candidates, key, len(query.Exclude) > 0, now)
 }
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -39,7 +39,7 @@
 	availability
 	// departure is set if the incarnation announced that it drains.
 	departure *departure
-	// excluded is Draining or Evacuated while this keeps everything from the upstream,
+	// excluded is Draining, Evacuated or Unassigned while this keeps requests from the upstream,
 	// otherwise Open. It is kept up to date while the upstream is listed.
 	excluded Closure
 	region   core.RegionName
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -66,6 +66,8 @@
 	// room is what upstreams left for the last attempt if rate limits or pauses prevented it,
 	// otherwise nil.
 	room *placer.Room
+	// isLeftToOthers says that other hosts hold all connections that the upstreams take.
+	isLeftToOthers bool
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -163,7 +165,7 @@
 	}
 	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
-	r.room = choice.Room
+	r.room, r.isLeftToOthers = choice.Room, choice.IsLeftToOthers
 	if !ok {
 		r.event.Detail = "no upstream is available"
 		return choice, false
@@ -358,6 +360,11 @@
 		r.refuseForRoom(time.Now())
 		return
 	}
+	if r.isLeftToOthers {
+		r.event.Detail = "all connections that the upstreams take are left to other hosts"
+		r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-connections", minRetryAfter)
+		return
+	}
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-room", min(max(r.queueWait/2, minRetryAfter), maxRetryAfter))
 }
 
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -110,6 +110,8 @@
 	UpstreamPauseUnreadable = Event{517, "upstream-pause-unreadable", zerolog.WarnLevel, "An upstream stated an invalid Retry-After."}
 
 	UpstreamReopened = Event{519, "upstream-reopened", zerolog.InfoLevel, "The time for which an upstream wanted no requests is over."}
+	UpstreamsDivided = Event{520, "upstreams-divided", zerolog.InfoLevel, "A service's upstreams take fewer connections than there are hosts."}
+	UpstreamsShared  = Event{521, "upstreams-shared", zerolog.InfoLevel, "Each host may connect to all upstreams of a service again."}
 
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
@@ -134,7 +136,7 @@
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
-	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamReopened,
+	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamReopened, UpstreamsDivided, UpstreamsShared,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
