Let histories serve requests, and queries overtake messages

Change: new actions end all faults, serve what is in flight, submit an operation and serve it, and let a query overtake its message. No oracle changed.

--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/dispatcher"
 	"github.com/endiverun/endiverun/core/limiter"
 	"github.com/endiverun/endiverun/core/router"
 )
@@ -56,6 +57,11 @@
 			"upstream":       sim.actUpstream,
 			"transfer":       sim.actTransfer,
 			"renew-together": sim.actRenewTogether,
+			"calm":           sim.actCalm,
+			"serve":          sim.actServe,
+			"order-served":   sim.actOrderServed,
+			"again-served":   sim.actSendAgainServed,
+			"overtake":       sim.actOvertake,
 		})
 		sim.finishAll(rt)
 	})
@@ -119,6 +125,78 @@
 	return core.NewHomeBoundKey(home, nonce, time.Unix(target.KeyIssuedAt, 0))
 }
 
+// actCalm ends all faults and lets the hosts learn of each other again. Without it most
+// histories are in a fault from their first steps on and few requests are answered.
+func (sim *simulation) actCalm(t *rapid.T) {
+	sim.rapidT = t
+	sim.endFaults()
+	sim.lastFaultAt = sim.now
+	sim.advance(calmTime)
+}
+
+// calmTime is enough for heartbeats, and for the renewal of slots.
+const calmTime = 4 * time.Second
+
+// actServe lets everything that is in flight arrive and end.
+func (sim *simulation) actServe(t *rapid.T) {
+	sim.rapidT = t
+	sim.serve()
+}
+
+// serve lets messages and attempts arrive and end, and what follows from them.
+func (sim *simulation) serve() {
+	const rounds = 6
+	for range rounds {
+		sim.serveRound()
+	}
+}
+
+// serveRound lets all messages and attempts take one step.
+func (sim *simulation) serveRound() {
+	for _, a := range sim.attempts {
+		switch {
+		case a.done || a.hostRequest.node.paused:
+		case a.running:
+			sim.complete(a, false)
+		default:
+			sim.arrive(a, false)
+		}
+	}
+	for _, m := range sim.openMessages() {
+		sim.deliver(m)
+		sim.deliverReply(m)
+	}
+}
+
+// actOrderServed submits a new operation and serves it.
+func (sim *simulation) actOrderServed(t *rapid.T) {
+	sim.actOrder(t)
+	sim.serve()
+}
+
+// actSendAgainServed retries an operation and serves the request. A key then often reaches
+// two hosts, one of which has already answered it.
+func (sim *simulation) actSendAgainServed(t *rapid.T) {
+	sim.actSendAgain(t)
+	sim.serve()
+}
+
+// actOvertake lets the query about a message arrive before the message itself.
+func (sim *simulation) actOvertake(t *rapid.T) {
+	sim.rapidT = t
+	late := pick(t, filter(sim.openMessages(), func(m *message) bool {
+		return m.remoteRequest == nil && m.result == nil && !m.timedOut && m.step.Kind != dispatcher.StepQueryAttempt
+	}), "message")
+	sim.timeOut(late)
+	for _, m := range sim.openMessages() {
+		if m.from == late.from && m.step.Kind == dispatcher.StepQueryAttempt {
+			sim.deliver(m)
+			sim.deliverReply(m)
+		}
+	}
+	sim.deliver(late)
+}
+
 // actLookup submits a repeatable request.
 func (sim *simulation) actLookup(t *rapid.T) {
 	sim.rapidT = t
@@ -501,15 +579,20 @@
 	return len(sim.partitions) > 0 || len(sim.store.unreachableZones) > 0 || sim.store.down
 }
 
-// finishAll ends all faults and checks that every request ends.
-func (sim *simulation) finishAll(t *rapid.T) {
-	sim.rapidT = t
+// endFaults ends all faults but those of upstreams.
+func (sim *simulation) endFaults() {
 	clear(sim.partitions)
 	clear(sim.store.unreachableZones)
 	sim.store.down, sim.store.lostResponses = false, 0
 	for _, n := range sim.nodes {
 		n.paused = false
 	}
+}
+
+// finishAll ends all faults and checks that every request ends.
+func (sim *simulation) finishAll(t *rapid.T) {
+	sim.rapidT = t
+	sim.endFaults()
 	const rounds, timeoutRounds = 200, 50
 	for round := range rounds {
 		sim.advance(tickInterval)
