--- a/core/simulator/flow_test.go
+++ b/core/simulator/flow_test.go
@@ -24,6 +24,7 @@
 // submission is one request for an operation, sent to an entry host.
 type submission struct {
 	operation *operation
+	host      *node
 	request   core.Request
 	ended     bool
 	outcome   core.Outcome
@@ -316,7 +317,7 @@
 		Service: o.service, Method: "POST", Path: "/", ClientZone: zones[0].Name,
 		Body: make([]byte, size), Key: key, Ordinal: ordinal, Deadline: to.now().Add(3 * time.Second),
 	}
-	s := &submission{operation: o, request: request}
+	s := &submission{operation: o, host: to, request: request}
 	sim.submissions = append(sim.submissions, s)
 	o.submissions = append(o.submissions, s)
 	sim.startRequest(to, request, dispatcher.Origin{}, s, nil)
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -174,10 +174,14 @@
 	sim.serve()
 }
 
-// actSendAgainServed retries an operation and serves the request. A key then often reaches
-// two hosts, one of which has already answered it.
+// actSendAgainServed retries an operation at another host than the last time and serves the
+// request.
 func (sim *simulation) actSendAgainServed(t *rapid.T) {
-	sim.actSendAgain(t)
+	sim.rapidT = t
+	o := pick(t, sim.operations, "order")
+	last := o.submissions[len(o.submissions)-1].host
+	others := filter(sim.activeNodes(), func(n *node) bool { return n != last })
+	sim.sendAgain(t, o, pick(t, others, "host"))
 	sim.serve()
 }
 
@@ -209,7 +213,11 @@
 func (sim *simulation) actSendAgain(t *rapid.T) {
 	sim.rapidT = t
 	o := pick(t, sim.operations, "order")
-	to := pick(t, sim.activeNodes(), "host")
+	sim.sendAgain(t, o, pick(t, sim.activeNodes(), "host"))
+}
+
+// sendAgain submits an operation to a host again.
+func (sim *simulation) sendAgain(t *rapid.T, o *operation, to *node) {
 	last := o.submissions[len(o.submissions)-1]
 	if o.isReportedNotRun() {
 		sim.submit(o, to, sim.drawKey(t, to), 0, len(last.request.Body))
