Claim the keys of several requests together in the stateful tests

A host that finds all keys claimed writes nothing, so that the fault needs a batch of a claimed key and a new one, as the hosts' program makes them (entry/server).

Change: claims wait until the host claims the keys of its requests together, those of one bucket in one write. Clients' keys are in one bucket, and a repeated operation is submitted together with a new one.

Failed try: the new operation was recorded before its key was drawn, and a history that found no home for the key went on with an operation without submissions (a panic of the test).

--- a/core/simulator/flow_test.go
+++ b/core/simulator/flow_test.go
@@ -96,7 +96,8 @@
 			sim.attempts = append(sim.attempts, &attempt{hostRequest: r, step: step, target: target, startedAt: sim.now})
 			return
 		case dispatcher.StepClaimKey:
-			sim.claim(r)
+			r.node.claiming = append(r.node.claiming, r)
+			return
 		default:
 			sim.sendMessage(r, step)
 			return
@@ -104,12 +105,43 @@
 	}
 }
 
-// claim claims the key of a request and reports the result immediately.
-func (sim *simulation) claim(r *hostRequest) {
-	key := r.request.Key.Text
-	holders, err := r.node.claimer.Claim(deduplicator.BucketOf(key), []string{key}, r.node.now())
-	holder, ok := holders[key]
-	r.dispatch.Observe(dispatcher.Result{Claim: dispatcher.Claim{Failed: err != nil || !ok, Holder: holder}}, r.node.now())
+// claim claims the keys of the requests of a host that wait for it, those of one bucket
+// together.
+func (sim *simulation) claim(n *node) {
+	if !n.isActive() {
+		return
+	}
+	waiting := n.claiming
+	n.claiming = nil
+	for len(waiting) > 0 {
+		bucket := deduplicator.BucketOf(waiting[0].request.Key.Text)
+		var batch, others []*hostRequest
+		for _, r := range waiting {
+			if deduplicator.BucketOf(r.request.Key.Text) == bucket {
+				batch = append(batch, r)
+			} else {
+				others = append(others, r)
+			}
+		}
+		sim.claimTogether(n, bucket, batch)
+		waiting = others
+	}
+}
+
+// claimTogether claims the keys of requests in one write and reports the results.
+func (sim *simulation) claimTogether(n *node, bucket int, batch []*hostRequest) {
+	var keys []string
+	for _, r := range batch {
+		if !slices.Contains(keys, r.request.Key.Text) {
+			keys = append(keys, r.request.Key.Text)
+		}
+	}
+	holders, err := n.claimer.Claim(bucket, keys, n.now())
+	for _, r := range batch {
+		holder, ok := holders[r.request.Key.Text]
+		r.dispatch.Observe(dispatcher.Result{Claim: dispatcher.Claim{Failed: err != nil || !ok, Holder: holder}}, n.now())
+		sim.resume(r)
+	}
 }
 
 // sendMessage sends the step's message to another host, unless the link to its region has no
--- a/core/simulator/promise_test.go
+++ b/core/simulator/promise_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/deduplicator"
 	"github.com/endiverun/endiverun/core/dispatcher"
 	"github.com/endiverun/endiverun/core/limiter"
 	"github.com/endiverun/endiverun/core/router"
@@ -57,6 +58,7 @@
 			"upstream":       sim.actUpstream,
 			"transfer":       sim.actTransfer,
 			"renew-together": sim.actRenewTogether,
+			"claim":          sim.actClaim,
 			"calm":           sim.actCalm,
 			"serve":          sim.actServe,
 			"order-served":   sim.actOrderServed,
@@ -112,7 +114,7 @@
 	sim.serial++
 	nonce := strconv.Itoa(sim.serial)
 	if rapid.IntRange(0, 3).Draw(t, "own-key") == 0 {
-		return core.IdempotencyKey{Text: "own-" + nonce}
+		return ownKey(nonce)
 	}
 	query := router.Query{Service: serviceOrder, Zone: host.steerer.Self.Zone}
 	route := host.steerer.Router.Route(query, 1, host.now())
@@ -153,6 +155,9 @@
 
 // serveRound lets all messages and attempts take one step.
 func (sim *simulation) serveRound() {
+	for _, n := range sim.nodes {
+		sim.claim(n)
+	}
 	for _, a := range sim.attempts {
 		switch {
 		case a.done || a.hostRequest.node.paused:
@@ -174,14 +179,18 @@
 	sim.serve()
 }
 
-// actSendAgainServed retries an operation at another host than the last time and serves the
-// request.
+// actSendAgainServed retries an operation at another host than the last time, together with
+// a new one, and serves both. Their keys are claimed together.
 func (sim *simulation) actSendAgainServed(t *rapid.T) {
 	sim.rapidT = t
 	o := pick(t, sim.operations, "order")
 	last := o.submissions[len(o.submissions)-1].host
 	others := filter(sim.activeNodes(), func(n *node) bool { return n != last })
-	sim.sendAgain(t, o, pick(t, others, "host"))
+	to := pick(t, others, "host")
+	sim.sendAgain(t, o, to)
+	added, key := &operation{service: serviceOrder}, sim.drawKey(t, to)
+	sim.operations = append(sim.operations, added)
+	sim.submit(added, to, key, 0, drawSize(t))
 	sim.serve()
 }
 
@@ -201,6 +210,22 @@
 	sim.deliver(late)
 }
 
+// ownKey returns a key that a client chose. All have their claims in one object of the store.
+func ownKey(nonce string) core.IdempotencyKey {
+	for i := 0; ; i++ {
+		text := "own-" + nonce + "-" + strconv.Itoa(i)
+		if deduplicator.BucketOf(text) == 0 {
+			return core.IdempotencyKey{Text: text}
+		}
+	}
+}
+
+// actClaim lets a host claim the keys of its requests.
+func (sim *simulation) actClaim(t *rapid.T) {
+	sim.rapidT = t
+	sim.claim(pick(t, sim.activeNodes(), "host"))
+}
+
 // actLookup submits a repeatable request.
 func (sim *simulation) actLookup(t *rapid.T) {
 	sim.rapidT = t
--- a/core/simulator/world_test.go
+++ b/core/simulator/world_test.go
@@ -95,6 +95,8 @@
 	// number is the highest number of a ticket that was in force.
 	number       core.TicketNumber
 	hostRequests []*hostRequest
+	// claiming holds the requests whose keys are to be claimed.
+	claiming []*hostRequest
 	// inFlight is the number of the node's requests at each upstream.
 	inFlight map[core.UpstreamName]int
 }
@@ -234,6 +236,7 @@
 		for i, n := range sim.nodes {
 			if n.isActive() {
 				sim.runBackgroundTasks(n, i)
+				sim.claim(n)
 			}
 		}
 		sim.resumeWaiting()
