--- a/core/simulator/world_test.go
+++ b/core/simulator/world_test.go
@@ -73,6 +73,8 @@
 	rapidT *rapid.T
 	// serial is the last of the unique numbers of incarnations, keys and tickets.
 	serial int
+	// incarnations is the number of incarnations of all hosts.
+	incarnations int
 }
 
 // transfer is data that was sent over a link.
@@ -95,6 +97,8 @@
 	// number is the highest number of a ticket that was in force.
 	number       core.TicketNumber
 	hostRequests []*hostRequest
+	// claiming holds the requests whose keys are to be claimed.
+	claiming []*hostRequest
 	// inFlight is the number of the node's requests at each upstream.
 	inFlight map[core.UpstreamName]int
 }
@@ -170,6 +174,7 @@
 // newNode starts an incarnation of host i, the clock of which has a random skew.
 func (sim *simulation) newNode(i int) *node {
 	sim.serial++
+	sim.incarnations++
 	n := &node{simulation: sim, inFlight: map[core.UpstreamName]int{}}
 	n.clockSkew = time.Duration(rapid.Int64Range(-int64(maxClockSkew), int64(maxClockSkew)).Draw(sim.rapidT, "skew"))
 	self := core.Host{
@@ -234,6 +239,7 @@
 		for i, n := range sim.nodes {
 			if n.isActive() {
 				sim.runBackgroundTasks(n, i)
+				sim.claim(n)
 			}
 		}
 		sim.resumeWaiting()
