Limit the times after a restore that another host tells

A host that learns from another one how long a restore of the store still has to be held took the times as they were told. One wrong host could make it retain upstreams that have left and evacuations that are over, and correct the store's list, for any time: late requests, and a zone without requests. It would tell others the same.

The times are now limited to those that the host would have had, had it seen the restore at that moment. A right host never tells longer ones, unless its upstreams have a longer heartbeat.

Evidence: TestToldTimesAreLimited, with times of an hour, failed before (the zone was still evacuated after 3 s) and passes; all tests of core/replicator pass. Found by reading.

--- a/core/replicator/knowledge.go
+++ b/core/replicator/knowledge.go
@@ -90,7 +90,7 @@
 		return
 	}
 	isFirst := r.knownEra != r.current.Era
-	hasLearnt := r.restoration.learn(k, now)
+	hasLearnt := r.restoration.learn(k, r.heartbeat(), now)
 	if isFirst {
 		r.takeState(update.Upstreams, k, now)
 		if e := r.listed.Evacuations; e != nil {
--- a/core/replicator/knowledge_test.go
+++ b/core/replicator/knowledge_test.go
@@ -155,3 +155,21 @@
 	read(r, 40, start, entry("again", 1, "ready"), entry("gone", 1, "ready"))
 	is.Equal(describe(r), []string{"again/1 ready"})
 }
+
+// TestToldTimesAreLimited guards against a host that sends requests to upstreams that have left,
+// and none to a zone that is no longer evacuated, for as long as one wrong host says that the
+// restore goes on.
+func TestToldTimesAreLimited(t *testing.T) {
+	is := is.New(t)
+	known, _ := newKnowingHost()
+	told := known.ChangesSince(core.Revisions{}, start)
+	told.Knowledge.Remaining, told.Knowledge.RemainingGrace = core.MillisecondsOf(time.Hour), core.MillisecondsOf(time.Hour)
+	r := &replicator.Replicator{}
+	r.ApplyUpdate(told, start)
+	read(r, 41, start, entry("other", 1, "ready"))
+	r.Settle(start.Add(grace))
+	is.Equal(len(r.Snapshot().Evacuations.Zones), 0)
+	is.Equal(describe(r), []string{"other/1 ready"})
+	settle(r, start.Add(settleTime))
+	is.True(!r.HasKnowledge())
+}
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -66,14 +66,15 @@
 }
 
 // learn adds what another host knows, and reports whether that is new. A copy that was first
-// read in this era, or has settled, has the rest of the other host's times.
-func (s *restoration) learn(k *Knowledge, now time.Time) bool {
+// read in this era, or has settled, has the rest of the other host's times, but never longer
+// ones than its own would be.
+func (s *restoration) learn(k *Knowledge, heartbeat time.Duration, now time.Time) bool {
 	if !s.isSettling() {
 		*s = restoration{
 			removed:    map[core.UpstreamName]core.Incarnation{},
 			zones:      slices.Clone(k.Zones),
-			graceUntil: now.Add(k.RemainingGrace.Duration()),
-			settledAt:  now.Add(k.Remaining.Duration()),
+			graceUntil: now.Add(min(k.RemainingGrace, core.MillisecondsOf(restoreGrace)).Duration()),
+			settledAt:  now.Add(min(k.Remaining, core.MillisecondsOf(settleTime(heartbeat))).Duration()),
 		}
 	}
 	isNew := false
