--- a/core/replicator/knowledge.go
+++ b/core/replicator/knowledge.go
@@ -85,12 +85,12 @@
 // Replicator.mu.
 func (r *Replicator) takeOver(update Snapshot, changed *Snapshot, now time.Time) {
 	k := update.Knowledge
-	r.removals.add(k.Ended, r.listed.Upstreams, now)
+	r.removals.add(k, r.listed.Upstreams, now)
 	if !k.IsSettling {
 		return
 	}
 	isFirst := r.knownEra != r.current.Era
-	hasLearnt := r.restoration.learn(k, now)
+	hasLearnt := r.restoration.learn(k, r.heartbeat(), now)
 	if isFirst {
 		r.takeState(update.Upstreams, k, now)
 		if e := r.listed.Evacuations; e != nil {
