Placer: name the end of a pause and the return after it

Cause: a closure is now any reason for which an upstream may not be used, but the field closedUntil held the end of one of them, the pause. The event upstream-reopened reports that end, but the field reopensAt held the later time at which this host sends again.

Change: closedUntil is pausedUntil, and reopensAt is returnStart, which is the beginning of what closure calls Returning. The comments beside them say pause where they described one. No behaviour changes.

--- a/core/placer/availability.go
+++ b/core/placer/availability.go
@@ -39,14 +39,15 @@
 
 // availability is what an incarnation of an upstream has said of itself.
 type availability struct {
-	// closedUntil is the latest end of the times for which the upstream wanted no requests
-	// from this host. A later statement of a shorter time does not bring it forward.
-	closedUntil time.Time
-	// reopensAt is when this host returns after that time.
-	reopensAt time.Time
-	finding   string
-	// pausedSince is when the time that closedUntil ends began; zero once its end was
-	// recorded. pauseUse is what it kept away from the upstream.
+	// pausedUntil is the end of the upstream's last pause: the latest end of the times for
+	// which it wanted no requests from this host. A later statement of a shorter time does
+	// not bring it forward.
+	pausedUntil time.Time
+	// returnStart is when this host sends to the upstream again after that pause.
+	returnStart time.Time
+	finding     string
+	// pausedSince is when that pause began; zero once its end was recorded. pauseUse is what
+	// it kept away from the upstream.
 	pausedSince time.Time
 	pauseUse    pauseUse
 }
@@ -56,8 +57,8 @@
 	moved, refused int
 }
 
-// EndedPause is a time for which an upstream wanted no requests from this host and which is
-// over.
+// EndedPause is a pause that is over: a time for which an upstream wanted no requests from
+// this host.
 type EndedPause struct {
 	Upstream core.Upstream
 	Length   time.Duration
@@ -68,13 +69,13 @@
 
 // isPaused reports whether the upstream wants no requests from this host now.
 func (a *availability) isPaused(now time.Time) bool {
-	return now.Before(a.closedUntil)
+	return now.Before(a.pausedUntil)
 }
 
-// isReturning reports whether the time in which the upstream wanted no requests ended so
-// recently that this host still sends it fewer than usual.
+// isReturning reports whether the last pause of the upstream ended so recently that this host
+// still sends it fewer requests than usual.
 func (a *availability) isReturning(now time.Time) bool {
-	return !a.closedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.reopensAt) < returnTime
+	return !a.pausedUntil.IsZero() && !a.isPaused(now) && now.Sub(a.returnStart) < returnTime
 }
 
 // returnsAt returns when a returning upstream may get one more request while none of those
@@ -84,11 +85,11 @@
 	if !u.isReturning(now) {
 		return time.Time{}
 	}
-	if now.Before(u.reopensAt) {
-		return u.reopensAt
+	if now.Before(u.returnStart) {
+		return u.returnStart
 	}
 	progress := float64(u.inFlight) / float64(u.slots())
-	return u.reopensAt.Add(time.Duration(min(progress, 1) * float64(returnTime)))
+	return u.returnStart.Add(time.Duration(min(progress, 1) * float64(returnTime)))
 }
 
 // RecordAvailability records what a health check said about the availability of an upstream.
@@ -153,11 +154,11 @@
 // extendPause keeps requests from the upstream for a time, unless a longer one is in force.
 func (p *Placer) extendPause(u *upstream, pause time.Duration, now time.Time) {
 	until := now.Add(pause)
-	if !until.After(u.closedUntil) {
+	if !until.After(u.pausedUntil) {
 		return
 	}
 	spread := min(returnSpread, pause)
-	u.closedUntil, u.reopensAt = until, until.Add(time.Duration(p.Pacer.Turn(u.Name)*float64(spread)))
+	u.pausedUntil, u.returnStart = until, until.Add(time.Duration(p.Pacer.Turn(u.Name)*float64(spread)))
 }
 
 // endPause records the end of the upstream's pause, if there was one and it is over.
@@ -166,7 +167,7 @@
 		return
 	}
 	p.endedPauses = append(p.endedPauses, EndedPause{
-		Upstream: u.Upstream, Length: u.closedUntil.Sub(u.pausedSince), Moved: u.pauseUse.moved, Refused: u.pauseUse.refused,
+		Upstream: u.Upstream, Length: u.pausedUntil.Sub(u.pausedSince), Moved: u.pauseUse.moved, Refused: u.pauseUse.refused,
 	})
 	u.pausedSince, u.pauseUse = time.Time{}, pauseUse{}
 }
--- a/core/placer/availability_test.go
+++ b/core/placer/availability_test.go
@@ -157,7 +157,7 @@
 			name        core.UpstreamName
 			incarnation core.Incarnation
 		}
-		left, closedUntil := map[incarnation]bool{}, map[incarnation]time.Time{}
+		left, pausedUntil := map[incarnation]bool{}, map[incarnation]time.Time{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(list)-1).Draw(t, "upstream")
@@ -175,8 +175,8 @@
 					continue
 				}
 				chosen := incarnation{choice.Upstream.Name, choice.Upstream.Incarnation}
-				if left[chosen] || now.Before(closedUntil[chosen]) {
-					t.Fatalf("%v was chosen, left: %v, closed until %v", chosen, left[chosen], closedUntil[chosen])
+				if left[chosen] || now.Before(pausedUntil[chosen]) {
+					t.Fatalf("%v was chosen, left: %v, closed until %v", chosen, left[chosen], pausedUntil[chosen])
 				}
 				said := placer.Availability{IsLeaving: rapid.IntRange(0, 9).Draw(t, "leaves") == 0}
 				if rapid.IntRange(0, 3).Draw(t, "refuses") == 0 {
@@ -184,8 +184,8 @@
 				}
 				say(p, choice, said, now)
 				left[chosen] = left[chosen] || said.IsLeaving
-				if until := now.Add(said.RetryAfter); until.After(closedUntil[chosen]) {
-					closedUntil[chosen] = until
+				if until := now.Add(said.RetryAfter); until.After(pausedUntil[chosen]) {
+					pausedUntil[chosen] = until
 				}
 			}
 		}
--- a/core/placer/closure.go
+++ b/core/placer/closure.go
@@ -66,7 +66,7 @@
 	if use != toSendAnyway && u.isEjected(now) {
 		return Ejected, u.ejectedUntil
 	}
-	if !u.closedUntil.IsZero() {
+	if !u.pausedUntil.IsZero() {
 		if reason, until := u.pauseClosure(use, now); reason != Open {
 			return reason, until
 		}
@@ -100,7 +100,7 @@
 // wanted no requests keep this host from using it now.
 func (u *upstream) pauseClosure(use purpose, now time.Time) (Closure, time.Time) {
 	if u.isPaused(now) {
-		return Paused, u.closedUntil
+		return Paused, u.pausedUntil
 	}
 	if until := u.returnsAt(now); use != toContact && now.Before(until) {
 		return Returning, until
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -55,7 +55,7 @@
 // retainedUntil returns until when the state of an upstream that left the list is kept, at
 // least to the end of its pause.
 func (u *upstream) retainedUntil() time.Time {
-	return later(u.removedAt.Add(removedRetention), u.closedUntil)
+	return later(u.removedAt.Add(removedRetention), u.pausedUntil)
 }
 
 // retainRemoved keeps the state of upstreams that are missing from the next list
--- a/core/placer/room.go
+++ b/core/placer/room.go
@@ -62,7 +62,7 @@
 		}
 		if reason == Returning {
 			room.Reason = max(room.Reason, Returning)
-			room.add(u, u.reopensAt.Sub(now), p.returnRate(s, u))
+			room.add(u, u.returnStart.Sub(now), p.returnRate(s, u))
 		}
 		if reason == RateLimited {
 			room.Reason = RateLimited
@@ -91,12 +91,12 @@
 // roomAfterPauses returns what upstreams that are all in a pause leave. The rate is that of
 // those that open together with the first.
 func (p *Placer) roomAfterPauses(s *service, paused []*upstream, now time.Time) *Room {
-	first := slices.MinFunc(paused, func(a, b *upstream) int { return a.reopensAt.Compare(b.reopensAt) })
+	first := slices.MinFunc(paused, func(a, b *upstream) int { return a.returnStart.Compare(b.returnStart) })
 	first.pauseUse.refused++
 	room := &Room{Reason: Paused}
 	for _, u := range paused {
-		if u.reopensAt.Sub(first.reopensAt) < returnTime {
-			room.add(u, u.reopensAt.Sub(now), p.returnRate(s, u))
+		if u.returnStart.Sub(first.returnStart) < returnTime {
+			room.add(u, u.returnStart.Sub(now), p.returnRate(s, u))
 		}
 	}
 	return room
