Comments: upstreams are closed for other reasons than rate limits too

Cause: comments of the choice of an upstream still named only the rate limit, or the Retry-After, where pauses and returns count as well since one function decides. Others needed a second reading: which reason of a Room comes first, what toSendAnyway permits, where the time of a refused client starts.

Change: comments only.

--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -43,7 +43,7 @@
 	// hasServedKey marks an upstream that this host sent the key to before.
 	hasServedKey bool
 	// replaces is the upstream of the same region that would get the key if its rate limit
-	// allowed an attempt now; nil if there is none.
+	// or its pause allowed an attempt now; nil if there is none.
 	replaces *upstream
 }
 
@@ -54,9 +54,8 @@
 	minGain time.Duration
 }
 
-// findCandidates returns the candidates for the key with their costs. Upstreams whose
-// rate limit or Retry-After allows this host no attempt now are left out. Ejected upstreams
-// are left out unless no other upstream may get the request.
+// findCandidates returns the candidates for the key with their costs. Closed upstreams (see
+// closure) are left out, ejected ones only unless no other upstream may get the request.
 func (p *Placer) findCandidates(s *service, query Query, key uint64, now time.Time) candidateSet {
 	candidates := candidateSet{list: p.rankCandidates(s, query, key, toSend, now)}
 	if len(candidates.list) == 0 {
@@ -70,9 +69,9 @@
 	return candidates
 }
 
-// rankCandidates returns the candidates for the key among the open upstreams: the first upstream of each of
-// the first regions in the key's order, or the first ones of a single region if no other
-// has such upstreams.
+// rankCandidates returns the candidates for the key among the open upstreams: the first
+// upstream of each of the first regions in the key's order, or the first ones of a single
+// region if no other has such upstreams.
 func (p *Placer) rankCandidates(s *service, query Query, key uint64, use purpose, now time.Time) []candidate {
 	regions, closed := p.openByRegion(s, query, key, use, now)
 	n := 1
@@ -95,7 +94,7 @@
 }
 
 // openByRegion returns the open upstreams of the first regions in the key's order that
-// have any, and the upstreams that asked for no request now.
+// have any, and the upstreams of these regions that are closed at their own request.
 func (p *Placer) openByRegion(
 	s *service, query Query, key uint64, use purpose, now time.Time,
 ) (regions [][]*upstream, closed []*upstream) {
@@ -124,7 +123,7 @@
 }
 
 // firstBefore returns the first upstream of the candidate's region in the key's order
-// among those that their rate limit closes, if it comes before the candidate.
+// among those that are closed at their own request, if it comes before the candidate.
 func firstBefore(c candidate, closed []*upstream, key uint64) *upstream {
 	var first *upstream
 	highest := c.weight
@@ -172,8 +171,8 @@
 // estimateCost sets the queueing time and the cost of the candidate. A key that
 // the upstream has not served takes longer, which adds a penalty. The primary
 // candidate is exempt while migrations are allowed, so that it takes over its
-// keys at the rate of that limit. The replacement of an upstream that its rate limit
-// closes is exempt too, so that its keys stay in their region.
+// keys at the rate of that limit. The replacement of an upstream that is closed at its own
+// request is exempt too, so that its keys stay in their region.
 func (p *Placer) estimateCost(c *candidate, s *service, query Query, mayMigrate bool, now time.Time) {
 	u, serviceTime := c.upstream, s.serviceTime.valueOr(defaultServiceTime)
 	c.queueTime = u.queueTime(serviceTime, now)
--- a/core/placer/closure.go
+++ b/core/placer/closure.go
@@ -51,8 +51,8 @@
 	toContact purpose = iota
 	// toSend is an attempt of a request.
 	toSend
-	// toSendAnyway is an attempt of a request that no upstream may get which this host could
-	// reach lately.
+	// toSendAnyway is an attempt that may also go to an ejected upstream, since no other one
+	// may get the request.
 	toSendAnyway
 )
 
--- a/core/placer/leaving.go
+++ b/core/placer/leaving.go
@@ -221,7 +221,8 @@
 // LeavingNotices returns incarnations that announced that they drain, for other hosts: at
 // most the given number. Those that this host learned of lately come first; which of the
 // others are included changes irregularly with each call, so that hosts that get every
-// second heartbeat also hear of all. It also reports whether news have to wait.
+// second heartbeat also hear of all. hasMoreNews reports whether some of the former had to be
+// left out.
 func (p *Placer) LeavingNotices(most int, now time.Time) (notices map[core.UpstreamName]core.Incarnation, hasMoreNews bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/placer/room.go
+++ b/core/placer/room.go
@@ -10,9 +10,9 @@
 
 // Room is what upstreams that asked for fewer or no requests leave to this host.
 type Room struct {
-	// Reason is what keeps requests away: RateLimited if at least one upstream has a rate
-	// limit that does, Returning if only the return after pauses does, Paused if every
-	// upstream that may get the request is in a pause.
+	// Reason is what keeps requests away: Paused if every upstream that may get the request
+	// is in a pause, else RateLimited if the rate limit of at least one keeps the request
+	// away, else Returning.
 	Reason Closure
 	// Next is the upstream that may get an attempt first.
 	Next core.UpstreamName
@@ -54,8 +54,8 @@
 			paused = append(paused, u)
 			continue
 		}
-		// One that this request has tried takes others, so a client that returns soon may
-		// find room there.
+		// An upstream that this request has tried still takes other requests, so a client
+		// that returns soon may find room there.
 		isAnyUnpaused = true
 		if slices.Contains(query.Exclude, u.Name) {
 			continue
--- a/core/roster/reader.go
+++ b/core/roster/reader.go
@@ -55,9 +55,9 @@
 	UpstreamsConfirmed time.Time
 }
 
-// Reader returns the host of this host's zone that reads the store for it. The reader is the ready host of the highest rank among
-// those that read the store. Reader returns false where this host should read the
-// store itself:
+// Reader returns the host of this host's zone that reads the store for it. The reader is the
+// ready host of the highest rank among those that read the store. Reader returns false where
+// this host should read the store itself:
 //
 //  1. in a small fleet,
 //  2. where this host has the highest rank, or
--- a/entry/caller/era.go
+++ b/entry/caller/era.go
@@ -88,8 +88,8 @@
 		t.Record(era)
 		return true
 	}
-	latest := t.Latest()
-	_, _ = t.recordHeader(value, latest)
+	// It may name yet another era, and another call may have confirmed this one meanwhile.
+	_, _ = t.recordHeader(value, t.Latest())
 	return t.Latest() >= era
 }
 
--- a/entry/forwarder/returns.go
+++ b/entry/forwarder/returns.go
@@ -10,7 +10,7 @@
 )
 
 // maxScheduledReturn is the longest Retry-After time of a request that rate limits of
-// upstreams prevented. After the pauses of upstreams clients return for so long.
+// upstreams prevented. If pauses did, it counts from the end of the first pause.
 const maxScheduledReturn = 5 * time.Second
 
 // returnSchedule assigns the times at which refused clients come back, so that they
@@ -23,7 +23,8 @@
 
 // assign returns the Retry-After time of one client whose request rate limits or pauses
 // prevented while a number of others wait. Beyond maxScheduledReturn, and if this host may send
-// none, it spreads the clients at random. After pauses, both begin with the end of the first.
+// none, it spreads the clients at random. No client returns before the end of a pause if all
+// upstreams are in one.
 func (s *returnSchedule) assign(service core.ServiceName, room placer.Room, others int, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -46,8 +46,9 @@
 // maxSendDelay is how late bytes may be sent after their bandwidth was reserved.
 const maxSendDelay = time.Second
 
-// taskExitTimeout is how long the end of the background tasks may take beyond the end of a stop.
-// It is longer than the messenger needs to close its connections, and ends before the process is killed.
+// taskExitTimeout is how long the end of the background tasks may take beyond the end of a
+// stop. It is longer than the messenger needs to close its connections, and ends before the
+// process is killed.
 const taskExitTimeout = 300 * time.Millisecond
 
 // idlePollInterval is the time between two checks for work in progress.
