Controller: add the moved attempt to a line in a function of its own

Cause: addLimit also added which upstream the last attempt was kept from, which its name and the first sentence of its comment do not say.

Change: addMove adds these fields, addLimit only the rate limit. The three lines that had the fields have them in the same order.

--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -105,7 +105,7 @@
 	e.Cause = ""
 	c.countRequest(e)
 	if e.Status >= http.StatusInternalServerError {
-		addLimit(c.Log.Event(logger.UpstreamFailed), e).
+		addLimit(addMove(c.Log.Event(logger.UpstreamFailed), e), e).
 			Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
 			Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 			Dur("took", e.Duration).Send()
@@ -115,7 +115,7 @@
 // recordRetry counts and logs a retry.
 func (c *Controller) recordRetry(e forwarder.Event) {
 	c.Meter.Count(meter.Retries, meter.Labels{Service: string(e.Service)})
-	addLimit(c.Log.Event(logger.RequestRetried), e).
+	addLimit(addMove(c.Log.Event(logger.RequestRetried), e), e).
 		Str("request", e.RequestID).Str("service", string(e.Service)).
 		Uint64("policy", e.PolicyVersion).Str("cause", e.Cause).Send()
 }
@@ -124,7 +124,7 @@
 // an upstream.
 func (c *Controller) recordFailure(e forwarder.Event) {
 	c.countRequest(e)
-	addLimit(c.Log.Event(logger.RequestRefused), e).
+	addLimit(addMove(c.Log.Event(logger.RequestRefused), e), e).
 		Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
 		Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Duration).Send()
@@ -135,14 +135,18 @@
 	c.Log.Event(logger.AcceptFailed).Err(err).Send()
 }
 
+// addMove adds the upstream that a rate limit or a pause kept the last attempt of a request
+// from to a line, if there is one, and which of them did.
+func addMove(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
+	if e.MovedBy == placer.Open {
+		return line
+	}
+	return line.Str("moved-from", string(e.MovedFrom)).Stringer("moved-by", e.MovedBy)
+}
+
 // addLimit adds the rate limit of the last upstream of a request to a line, if it has one:
 // the limit, its age, the host that told of it, and the interval of this host's share.
-//
-// It also adds the upstream that the rate limit or a pause kept the last attempt from.
 func addLimit(line *zerolog.Event, e forwarder.Event) *zerolog.Event {
-	if e.MovedBy != placer.Open {
-		line = line.Str("moved-from", string(e.MovedFrom)).Stringer("moved-by", e.MovedBy)
-	}
 	if !e.Limit.InForce {
 		return line
 	}
