Forwarder: explain a refusal in a function of its own

Cause: refuseForRoom set the cause, the detail and the time of return in one function, and its name can be read as if room were there.

Change: it is refuseWithoutRoom, and explainRefusal returns the cause and the detail. Causes, details and times stay as they were.

Evidence: go test ./entry/forwarder passes.

--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -355,36 +355,42 @@
 		return
 	}
 	if r.room != nil {
-		r.refuseForRoom(time.Now())
+		r.refuseWithoutRoom(*r.room, time.Now())
 		return
 	}
 	r.forwarder.respondUnavailable(r.requestCtx, r.event, "no-room", min(max(r.queueWait/2, minRetryAfter), maxRetryAfter))
 }
 
-// refuseForRoom responds to a request that the rate limits or the pauses of all upstreams
+// refuseWithoutRoom responds to a request that the rate limits or the pauses of all upstreams
 // prevent. Clients return when there will be room, one after the other.
-func (r *requestState) refuseForRoom(now time.Time) {
+func (r *requestState) refuseWithoutRoom(room placer.Room, now time.Time) {
 	held := r.forwarder.held.count(r.service)
-	cause := "upstreams-closed"
-	switch r.room.Reason {
+	cause, detail := explainRefusal(room, held)
+	r.event.Detail = detail
+	retryAfter := r.forwarder.returns.assign(r.service, room, held, now)
+	if room.Reason == placer.Paused {
+		// Before the end of the pause the client would only be refused again.
+		r.forwarder.respondUnavailableFor(r.requestCtx, r.event, cause, room.OpensIn+withJitter(retryAfter-room.OpensIn))
+		return
+	}
+	r.forwarder.respondUnavailable(r.requestCtx, r.event, cause, retryAfter)
+}
+
+// explainRefusal returns the cause and the detail of a refusal while the host holds a number
+// of requests.
+func explainRefusal(room placer.Room, held int) (cause, detail string) {
+	opensIn := room.OpensIn.Milliseconds()
+	switch room.Reason {
 	case placer.Paused:
-		r.event.Detail = fmt.Sprintf("all upstreams want no requests, %s for %d ms more, the others for longer",
-			r.room.Next, r.room.OpensIn.Milliseconds())
+		return "upstreams-closed", fmt.Sprintf("all upstreams want no requests, %s for %d ms more, the others for longer", room.Next, opensIn)
 	case placer.Returning:
-		r.event.Detail = fmt.Sprintf("requests return to upstreams after pauses, first to %s, and the host holds %d", r.room.Next, held)
+		return "upstreams-closed", fmt.Sprintf(
+			"requests return to upstreams after pauses, first to %s, and the host holds %d", room.Next, held)
 	default:
-		cause = "rate-limit"
-		r.event.Detail = fmt.Sprintf(
+		return "rate-limit", fmt.Sprintf(
 			"all upstreams are at their rate limits: this host may send %.3g requests a second, the next in %d ms, and holds %d",
-			float64(r.room.Rate), r.room.OpensIn.Milliseconds(), held)
+			float64(room.Rate), opensIn, held)
 	}
-	retryAfter := r.forwarder.returns.assign(r.service, *r.room, held, now)
-	if r.room.Reason == placer.Paused {
-		// Before the end of the pause the client would only be refused again.
-		r.forwarder.respondUnavailableFor(r.requestCtx, r.event, cause, r.room.OpensIn+withJitter(retryAfter-r.room.OpensIn))
-		return
-	}
-	r.forwarder.respondUnavailable(r.requestCtx, r.event, cause, retryAfter)
 }
 
 // abandon ends a request whose client has disconnected.
