Tests: say what a notice and a departure are in ordinary words

Cause: tests called the departures and notices of upstreams their word.

Change: one name of a test and two comments; checks as before.

Evidence: go test ./core/placer -run 'DeparturesSpread|PauseIsExplained|LeavingNotices' passes.

--- a/core/placer/closure_test.go
+++ b/core/placer/closure_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestPauseIsExplained guards against an attempt that goes elsewhere, or a request that is
-// refused, without a word of the pause that caused it, and against a pause whose end nobody
+// refused, without the name of the pause that caused it, and against a pause whose end nobody
 // learns of.
 func TestPauseIsExplained(t *testing.T) {
 	is := is.New(t)
--- a/core/placer/leaving_test.go
+++ b/core/placer/leaving_test.go
@@ -190,7 +190,7 @@
 	return slices.ContainsFunc(list, func(u core.Upstream) bool { return u.Name == name })
 }
 
-// TestLeavingNotices covers what counts of another host's word: it is about one incarnation,
+// TestLeavingNotices covers which notices of other hosts count: those about one incarnation,
 // which may be listed later.
 func TestLeavingNotices(t *testing.T) {
 	list := numberedUpstreams(3, "slz-a")
--- a/core/placer/leavingfleet_test.go
+++ b/core/placer/leavingfleet_test.go
@@ -43,10 +43,10 @@
 	return hosts
 }
 
-// TestWordSpreadsInLargeFleets guards against hosts that hear late that upstreams drain,
+// TestDeparturesSpreadInLargeFleets guards against hosts that hear late that upstreams drain,
 // since an urgent heartbeat reaches only a part of a large fleet and a heartbeat has room
 // for few upstreams. One datagram in ten is lost, and requests tell one host alone.
-func TestWordSpreadsInLargeFleets(t *testing.T) {
+func TestDeparturesSpreadInLargeFleets(t *testing.T) {
 	const step, period, most = 10 * time.Millisecond, 500 * time.Millisecond, 8
 	const drainTime = 2500 * time.Millisecond
 	for _, tt := range []struct {
