Tests of entry: share what two of them did line by line

Cause: the tests of a held request and those of the size of a heartbeat had the same lines in two files each.

Change: holdRequest and sizeWithLimits hold these lines. The checks, their limits and their counts are the same; the wait for the held request, which had no limit in one of them, now fails after 10 s as in the other.

Evidence: go test ./entry/controller -run Heartbeat and go test ./entry/forwarder -run HeldRequest -count=5 pass.

--- a/entry/controller/check_test.go
+++ b/entry/controller/check_test.go
@@ -100,6 +100,19 @@
 	is.True(sent <= 3)
 }
 
+// sizeWithLimits returns the bytes of a heartbeat with 16 notices of rate limits.
+func sizeWithLimits(t *testing.T, heartbeat roster.Heartbeat) int {
+	t.Helper()
+	is := is.New(t)
+	heartbeat.RateLimits = map[core.UpstreamName]core.RateLimitNotice{}
+	for i := range 16 {
+		heartbeat.RateLimits[core.UpstreamName(fmt.Sprintf("i-%010d", i))] = core.NewRateLimitNotice(8.6, true, 40*time.Second)
+	}
+	data, err := cbor.Marshal(heartbeat)
+	is.NoErr(err)
+	return len(data)
+}
+
 // TestHeartbeatWithManyColdUpstreams guards against a heartbeat that exceeds the size of a
 // datagram that receivers read, because a host found many upstreams cold, as after the end
 // of an evacuation. Its peers would take the host for dead. Every upstream must still be
@@ -116,13 +129,7 @@
 	told := map[core.UpstreamName]bool{}
 	for range 10 {
 		heartbeat := c.newHeartbeat()
-		heartbeat.RateLimits = map[core.UpstreamName]core.RateLimitNotice{}
-		for i := range 16 {
-			heartbeat.RateLimits[core.UpstreamName(fmt.Sprintf("i-%010d", i))] = core.NewRateLimitNotice(8.6, true, 40*time.Second)
-		}
-		data, err := cbor.Marshal(heartbeat)
-		is.NoErr(err)
-		is.True(len(data) <= maxBytes)
+		is.True(sizeWithLimits(t, heartbeat) <= maxBytes)
 		for name := range heartbeat.RemainingWarmUps {
 			told[name] = true
 		}
--- a/entry/controller/leaving_test.go
+++ b/entry/controller/leaving_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/endiverun/endiverun/core"
@@ -115,13 +114,7 @@
 	for len(c.urgentHeartbeat) > 0 {
 		<-c.urgentHeartbeat
 		heartbeat := c.newHeartbeat()
-		heartbeat.RateLimits = map[core.UpstreamName]core.RateLimitNotice{}
-		for i := range 16 {
-			heartbeat.RateLimits[core.UpstreamName(fmt.Sprintf("i-%010d", i))] = core.NewRateLimitNotice(8.6, true, 40*time.Second)
-		}
-		data, err := cbor.Marshal(heartbeat)
-		is.NoErr(err)
-		is.True(len(data) <= maxBytes)
+		is.True(sizeWithLimits(t, heartbeat) <= maxBytes)
 		for name := range heartbeat.Leaving {
 			told[name] = true
 		}
--- a/entry/forwarder/drain_test.go
+++ b/entry/forwarder/drain_test.go
@@ -91,6 +91,20 @@
 	is.Equal(full.requests.Load()+other.requests.Load(), int32(1))
 }
 
+// holdRequest makes the upstream of a host cold, uses the host's share of its warm-up limit, and
+// returns the client of a request that the host then holds.
+func (h *testHost) holdRequest(t *testing.T) *client {
+	t.Helper()
+	is := is.New(t)
+	h.pacer.SetLimit(0, 5) // Five requests a second.
+	h.placer.MarkCold("desk-0", time.Minute, time.Now())
+	is.Equal(sendRequest(t, h, "/o/1").StatusCode(), fasthttp.StatusOK)
+	c := h.dial(t)
+	c.send("/o/2")
+	waitFor(t, func() bool { return h.InFlight() > 0 })
+	return c
+}
+
 // TestHeldRequestNearTheEnd guards against a request that is held for a cold upstream until the
 // host no longer accepts connections, and is then passed on although there is no time left for
 // the response.
@@ -98,14 +112,7 @@
 	is := is.New(t)
 	u := &fakeUpstream{response: completeResponse}
 	h := newHost(t, orderRoute, u)
-	h.pacer.SetLimit(0, 5) // Five requests a second.
-	h.placer.MarkCold("desk-0", time.Minute, time.Now())
-	is.Equal(sendRequest(t, h, "/o/1").StatusCode(), fasthttp.StatusOK)
-	c := h.dial(t)
-	c.send("/o/2")
-	for h.InFlight() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	c := h.holdRequest(t)
 	now := time.Now()
 	h.StartDraining(core.DrainSchedule{AcceptsUntil: now.Add(100 * time.Millisecond), End: now.Add(time.Second)})
 	response, err := c.receive()
--- a/entry/forwarder/leaving_test.go
+++ b/entry/forwarder/leaving_test.go
@@ -32,12 +32,7 @@
 	is := is.New(t)
 	u := &fakeUpstream{response: completeResponse}
 	h := newHost(t, orderRoute, u)
-	h.pacer.SetLimit(0, 5) // Five requests a second.
-	h.placer.MarkCold("desk-0", time.Minute, time.Now())
-	is.Equal(sendRequest(t, h, "/o/1").StatusCode(), fasthttp.StatusOK)
-	c := h.dial(t)
-	c.send("/o/2")
-	waitFor(t, func() bool { return h.InFlight() > 0 })
+	c := h.holdRequest(t)
 	h.leave(t, "desk-0")
 	response, err := c.receive()
 	is.NoErr(err)
