Replicator: say plainly what learning from another host does

Cause: learn and takeOver explained each other, takeState described a copy that never existed, and isTold was the name of two different things. In the schedule of a stop, "that part" had no clear reference.

Change: comments, and one variable: hasKnowledge says that an update brings the knowledge of its sender. Behaviour stays.

Evidence: go test ./core/replicator passes.

--- a/core/drain.go
+++ b/core/drain.go
@@ -7,7 +7,8 @@
 	// process, and exitMarginDivisor limits it to a fraction of a short grace period.
 	exitMargin        = 400 * time.Millisecond
 	exitMarginDivisor = 6
-	// lastAnswersDivisor limits the time for answers at the end to a fraction of that part.
+	// lastAnswersDivisor limits the time for the answers to requests that are broken off to a
+	// fraction of that part.
 	lastAnswersDivisor = 4
 )
 
--- a/core/replicator/knowledge.go
+++ b/core/replicator/knowledge.go
@@ -72,8 +72,9 @@
 	return k
 }
 
-// learn takes over what another host knows, after its lists in the update were applied. The
-// caller holds Replicator.mu.
+// learn takes over what a host of the same era knows, after its lists in the update were
+// applied. If that host still holds what it knew before the restore, LacksKnowledge is false
+// from then on. The caller holds Replicator.mu.
 func (r *Replicator) learn(update Snapshot, changed *Snapshot, now time.Time) {
 	r.takeOver(update, changed, now)
 	if update.Knowledge.IsSettling {
@@ -81,8 +82,8 @@
 	}
 }
 
-// takeOver is learn, after which the host may still learn more from another one. The caller holds
-// Replicator.mu.
+// takeOver applies the knowledge in an update. It leaves LacksKnowledge as it is, since another
+// host may know more. The caller holds Replicator.mu.
 func (r *Replicator) takeOver(update Snapshot, changed *Snapshot, now time.Time) {
 	k := update.Knowledge
 	r.removals.add(k.Ended, r.listed.Upstreams, now)
@@ -130,9 +131,9 @@
 	}
 }
 
-// takeState makes the copy one that held the other host's upstreams before it was given its
-// own list: the later states of listed upstreams, and the upstreams that the store may lack. The
-// caller holds Replicator.mu.
+// takeState takes from another host's upstreams what the copy would have kept if it had held
+// them before it was given its own list: the later states of listed upstreams, and the upstreams
+// that the store may lack. The caller holds Replicator.mu.
 func (r *Replicator) takeState(told *Upstreams, k *Knowledge, now time.Time) {
 	full, ok := told.applyTo(nil, now)
 	if !ok || r.current.Upstreams == nil {
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -222,14 +222,14 @@
 	if p := update.Policy; p != nil && p.Version > r.current.Revisions().Policy {
 		r.listed.Policy, r.current.Policy, changed.Policy = p, p, p
 	}
-	isTold := update.Knowledge != nil && update.Upstreams != nil && update.Upstreams.BaseRevision == 0
+	hasKnowledge := update.Knowledge != nil && update.Upstreams != nil && update.Upstreams.BaseRevision == 0
 	switch {
 	case update.Era == r.current.Era:
 		r.applyLists(update, &changed, now)
-		if isTold {
+		if hasKnowledge {
 			r.learn(update, &changed, now)
 		}
-	case isTold && r.knownEra != r.current.Era:
+	case hasKnowledge && r.knownEra != r.current.Era:
 		r.learnEarlier(update, &changed, now)
 	}
 	r.notify(changed, now)
