--- a/core/placer/closure.go
+++ b/core/placer/closure.go
@@ -58,8 +58,8 @@
 	toContact
 	// toSend is an attempt of a request.
 	toSend
-	// toSendAnyway is an attempt of a request that no upstream may get which this host could
-	// reach lately.
+	// toSendAnyway is an attempt that may also go to an ejected upstream, since no other one
+	// may get the request.
 	toSendAnyway
 )
 
@@ -78,7 +78,7 @@
 	if use != toSendAnyway && u.isEjected(now) {
 		return Ejected, u.ejectedUntil
 	}
-	if !u.closedUntil.IsZero() {
+	if !u.pausedUntil.IsZero() {
 		if reason, until := u.pauseClosure(use, now); reason != Open {
 			return reason, until
 		}
@@ -114,7 +114,7 @@
 // wanted no requests keep this host from using it now.
 func (u *upstream) pauseClosure(use purpose, now time.Time) (Closure, time.Time) {
 	if u.isPaused(now) {
-		return Paused, u.closedUntil
+		return Paused, u.pausedUntil
 	}
 	if until := u.returnsAt(now); use.isRequest() && now.Before(until) {
 		return Returning, until
--- a/core/placer/room.go
+++ b/core/placer/room.go
@@ -10,9 +10,9 @@
 
 // Room is what upstreams that asked for fewer or no requests leave to this host.
 type Room struct {
-	// Reason is what keeps requests away: RateLimited if at least one upstream has a rate
-	// limit that does, Returning if only the return after pauses does, Paused if every
-	// upstream that may get the request is in a pause.
+	// Reason is what keeps requests away: Paused if every upstream that may get the request
+	// is in a pause, else RateLimited if the rate limit of at least one keeps the request
+	// away, else Returning.
 	Reason Closure
 	// Next is the upstream that may get an attempt first.
 	Next core.UpstreamName
@@ -54,15 +54,15 @@
 			paused = append(paused, u)
 			continue
 		}
-		// One that this request has tried takes others, so a client that returns soon may
-		// find room there.
+		// An upstream that this request has tried still takes other requests, so a client
+		// that returns soon may find room there.
 		isAnyUnpaused = true
 		if slices.Contains(query.Exclude, u.Name) {
 			continue
 		}
 		if reason == Returning {
 			room.Reason = max(room.Reason, Returning)
-			room.add(u, u.reopensAt.Sub(now), p.returnRate(s, u))
+			room.add(u, u.returnStart.Sub(now), p.returnRate(s, u))
 		}
 		if reason == RateLimited {
 			room.Reason = RateLimited
@@ -91,12 +91,12 @@
 // roomAfterPauses returns what upstreams that are all in a pause leave. The rate is that of
 // those that open together with the first.
 func (p *Placer) roomAfterPauses(s *service, paused []*upstream, now time.Time) *Room {
-	first := slices.MinFunc(paused, func(a, b *upstream) int { return a.reopensAt.Compare(b.reopensAt) })
+	first := slices.MinFunc(paused, func(a, b *upstream) int { return a.returnStart.Compare(b.returnStart) })
 	first.pauseUse.refused++
 	room := &Room{Reason: Paused}
 	for _, u := range paused {
-		if u.reopensAt.Sub(first.reopensAt) < returnTime {
-			room.add(u, u.reopensAt.Sub(now), p.returnRate(s, u))
+		if u.returnStart.Sub(first.returnStart) < returnTime {
+			room.add(u, u.returnStart.Sub(now), p.returnRate(s, u))
 		}
 	}
 	return room
