Report the end of a pause of an upstream that has left the list

Cause: the state of an upstream that is off the list for 15 s is discarded with the first list after the end of its pause. If that came before the periodic report, event 519 was lost, with what the pause had kept away. Found by the review of this change, with a scratch test.

Change: the end is recorded before the state is discarded.

--- a/core/placer/closure_test.go
+++ b/core/placer/closure_test.go
@@ -78,6 +78,20 @@
 	is.True(ok)
 }
 
+// TestPauseEndsWhileAbsent guards against the end of a pause that is not reported since the
+// upstream left the list meanwhile.
+func TestPauseEndsWhileAbsent(t *testing.T) {
+	is := is.New(t)
+	const pause = 20 * time.Second
+	p := newPlacer("slz-a", upstreamsIn(1, "slz-a"))
+	choice, ok := p.Choose(query("key"), start)
+	is.True(ok)
+	say(p, choice, placer.Availability{RetryAfter: pause}, start)
+	p.SetUpstreams(nil, start.Add(time.Second))
+	p.SetUpstreams(nil, start.Add(pause+100*time.Millisecond))
+	is.Equal(len(p.TakeEndedPauses(start.Add(pause+time.Second))), 1)
+}
+
 // TestAnswersWhileAbsent guards against requests that count as in flight for good, and against
 // pauses that are lost, because the upstream was not listed when its responses arrived.
 func TestAnswersWhileAbsent(t *testing.T) {
--- a/core/placer/list.go
+++ b/core/placer/list.go
@@ -67,6 +67,7 @@
 	}
 	for name, u := range p.removed {
 		if next[name] != nil || u.inFlight == 0 && now.After(u.retainedUntil()) {
+			p.endPause(u, now)
 			delete(p.removed, name)
 		}
 	}
