Tell hosts that had not heard of the last changes before a restore

If an upstream left or began to drain just before the store went away and came back from an older copy, some hosts had heard of it and others not. A host asked for what others knew only if it had started lately or was cut off for long.

While a host holds what it knew before a restore, its heartbeat now identifies the list of upstreams that it knew (field 14, optional): its era, revision and a digest of names, incarnations and drains. Revisions alone differ between hosts that know the same, so that nearly all hosts would ask. A host that knew an earlier, different list asks the host that knew the latest, one at a time, once for each list, with the request that starting hosts use. It takes over ends, drains, retained upstreams and the identity. Older builds neither tell nor ask. Evacuations are not part of it.

Evidence: TestHostLearnsLastChangesBeforeRestore fails without the question (10 s) and without the states in the answer.

--- a/core/replicator/knowledge.go
+++ b/core/replicator/knowledge.go
@@ -25,6 +25,9 @@
 	// evacuated zones that it does not list.
 	Retained []core.UpstreamName `cbor:"4,keyasint,omitempty"`
 	Zones    []core.ZoneName     `cbor:"5,keyasint,omitempty"`
+	// Known identifies the upstreams that were known before the restore; nil if the host does not
+	// tell.
+	Known *core.KnownUpstreams `cbor:"7,keyasint,omitempty"`
 }
 
 // knowsBefore reports whether the copy, which enters a later era, was kept for as long as the
@@ -53,6 +56,14 @@
 	return r.restoration.isSettling()
 }
 
+// KnownBefore identifies the upstreams that were known before a restore. It returns false if the
+// copy no longer holds what was known, or never did.
+func (r *Replicator) KnownBefore() (core.KnownUpstreams, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restoration.known, r.restoration.known != core.KnownUpstreams{}
+}
+
 // knowledge returns what other hosts may lack. The caller holds Replicator.mu.
 func (r *Replicator) knowledge(now time.Time) *Knowledge {
 	s := &r.restoration
@@ -66,6 +77,10 @@
 		Ended:          maps.Clone(s.removed),
 		Zones:          slices.Clone(s.zones),
 	}
+	if s.known != (core.KnownUpstreams{}) {
+		known := s.known
+		k.Known = &known
+	}
 	for _, u := range r.retained {
 		k.Retained = append(k.Retained, u.Name)
 	}
@@ -90,15 +105,22 @@
 		return
 	}
 	isFirst := r.knownEra != r.current.Era
+	known := r.restoration.known
 	hasLearnt := r.restoration.learn(k, now)
-	if isFirst {
+	isLater := k.Known != nil && known.IsBehind(*k.Known) && (isFirst || known != core.KnownUpstreams{})
+	if isFirst || isLater {
 		r.takeState(update.Upstreams, k, now)
+	}
+	if isLater {
+		r.restoration.known = *k.Known
+	}
+	if isFirst {
 		if e := r.listed.Evacuations; e != nil {
 			r.current.Evacuations = r.restoration.retainZones(e, r.mayHaveExpired(now))
 			changed.Evacuations = r.current.Evacuations
 		}
 	}
-	if r.listed.Upstreams != nil && (isFirst || hasLearnt) {
+	if r.listed.Upstreams != nil && (isFirst || isLater || hasLearnt) {
 		r.refreshUpstreams(changed, now)
 	}
 }
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -23,6 +23,8 @@
 	// removed lately before the restore, or was draining or followed by a later one when it
 	// was removed after it.
 	removed map[core.UpstreamName]core.Incarnation
+	// known identifies the upstreams that were known before the restore.
+	known core.KnownUpstreams
 	// zones are the evacuated zones that the store has not listed since.
 	zones []core.ZoneName
 	// listed are the upstreams that the store has listed since, while missing ones are
@@ -45,6 +47,9 @@
 		graceUntil: now.Add(restoreGrace),
 		settledAt:  now.Add(settleTime(heartbeat)),
 	}
+	if u := copied.Upstreams; u != nil {
+		s.known = core.NewKnownUpstreams(copied.Era, u.Revision, u.List)
+	}
 	if copied.Evacuations != nil {
 		s.zones = slices.Clone(copied.Evacuations.Zones)
 	}
--- a/core/replicator/restored_model_test.go
+++ b/core/replicator/restored_model_test.go
@@ -95,6 +95,7 @@
 			d.act()
 			d.read(d.hosts[0])
 			d.readAsStarter()
+			d.learnLater()
 			d.check()
 		}
 		for range 40 { // until every write has been made and every copy has settled
@@ -345,6 +346,39 @@
 	d.starter.ApplyUpdate(d.hosts[0].ChangesSince(core.Revisions{Era: d.starter.Held().Era}, d.now), d.now)
 }
 
+// learnLater lets each host ask one that knew a later list of upstreams before the restore. It then
+// lists no upstream as ready that the other host knows to have ended.
+func (d *drill) learnLater() {
+	for _, h := range d.hosts[1:] {
+		for _, other := range d.hosts {
+			known, isHeld := h.KnownBefore()
+			later, isTold := other.KnownBefore()
+			if !isHeld || !isTold || h.LacksKnowledge() || h.Snapshot().Era != other.Snapshot().Era || !known.IsBehind(later) {
+				continue
+			}
+			d.apply(h, other.ChangesSince(core.Revisions{Era: h.Held().Era}, d.now))
+			if after, _ := h.KnownBefore(); after.IsBehind(later) {
+				d.t.Fatalf("%s still knows less than %s: %+v", h.name, other.name, after)
+			}
+			d.requireEnds(h, other)
+		}
+	}
+}
+
+// requireEnds fails the test if a host lists an upstream as ready that another one lists as draining,
+// or no longer lists since it has ended.
+func (d *drill) requireEnds(h, other *drillHost) {
+	for _, u := range h.Snapshot().Upstreams.List {
+		isDraining := slices.ContainsFunc(other.Snapshot().Upstreams.List, func(v core.Upstream) bool {
+			return v.Name == u.Name && v.Incarnation == u.Incarnation && v.Draining
+		})
+		hasEnded := !d.isLive(u) && u.Incarnation <= other.ended[u.Name] && !other.lists(u.Name)
+		if !u.Draining && (isDraining || hasEnded) {
+			d.t.Fatalf("%s lists incarnation %d of %s as ready, unlike %s", h.name, u.Incarnation, u.Name, other.name)
+		}
+	}
+}
+
 // respond records a response of the store to a host.
 func (d *drill) respond(h *drillHost) {
 	if d.now.Sub(h.lastResponse) > outageTime {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,6 +89,9 @@
 	// Leaving holds the incarnations of some upstreams that announced in a response, to this
 	// host or another one, that they drain.
 	Leaving map[core.UpstreamName]core.Incarnation `cbor:"13,keyasint,omitempty"`
+	// KnownBefore identifies the upstreams that the host knew before a restore of the store, while
+	// it still holds what it knew; nil if it does not or does not tell.
+	KnownBefore *core.KnownUpstreams `cbor:"14,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
@@ -355,13 +358,36 @@
 // store, and that started before this one. Hosts that ask are spread over those that know. It
 // returns false if there is none.
 func (r *Roster) PeerWithKnowledge(era core.Era, now time.Time) (core.Host, bool) {
+	isEarlier := func(m *member) bool { return m.host.Incarnation < r.Self.Incarnation }
+	return r.knowingPeer(era, now, isEarlier, func(_, _ *member) bool { return false })
+}
+
+// PeerWithLaterKnowledge returns the live host of the given era of the store that knew the latest
+// list of upstreams before that era. It returns false if none knew a later one than the given one.
+func (r *Roster) PeerWithLaterKnowledge(era core.Era, known core.KnownUpstreams, now time.Time) (core.Host, bool) {
+	isLater := func(m *member) bool {
+		return m.heartbeat.KnownBefore != nil && known.IsBehind(*m.heartbeat.KnownBefore)
+	}
+	return r.knowingPeer(era, now, isLater, func(a, b *member) bool {
+		return b.heartbeat.KnownBefore.IsBehind(*a.heartbeat.KnownBefore)
+	})
+}
+
+// knowingPeer returns the best of the live hosts that still hold what they knew before the given
+// era of the store and meet the condition. Hosts that ask are spread over equally good ones.
+func (r *Roster) knowingPeer(
+	era core.Era, now time.Time, isWanted func(m *member) bool, isBetter func(a, b *member) bool,
+) (core.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var chosen *member
 	weight := func(m *member) uint64 { return core.RendezvousWeight(string(r.Self.Name), string(m.host.Name)) }
 	for _, m := range r.live(now) {
-		isKnowing := m.heartbeat.HasKnowledge && m.heartbeat.Revisions.Era == era && m.host.Incarnation < r.Self.Incarnation
-		if isKnowing && (chosen == nil || weight(m) > weight(chosen)) {
+		isKnowing := m.heartbeat.HasKnowledge && m.heartbeat.Revisions.Era == era && isWanted(m)
+		if !isKnowing {
+			continue
+		}
+		if chosen == nil || isBetter(m, chosen) || !isBetter(chosen, m) && weight(m) > weight(chosen) {
 			chosen = m
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -152,6 +152,38 @@
 	is.True(!ok) // no longer live
 }
 
+// TestPeerWithLaterKnowledge guards against a host that asks one that knew no more than it, or asks
+// several hosts before the one that knew the latest upstreams before a restore.
+func TestPeerWithLaterKnowledge(t *testing.T) {
+	is := is.New(t)
+	known := core.KnownUpstreams{Era: 1, Revision: 50, Digest: 1}
+	tests := []struct {
+		name      string
+		era       core.Era
+		isHolding bool
+		known     *core.KnownUpstreams
+		want      core.HostName
+	}{
+		{name: "older-build", era: 2, isHolding: true},
+		{name: "earlier-list", era: 2, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 49, Digest: 2}},
+		{name: "same-list", era: 2, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 99, Digest: 1}},
+		{name: "other-era", era: 3, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 99, Digest: 2}},
+		{name: "settled", era: 2, known: &core.KnownUpstreams{Era: 1, Revision: 99, Digest: 2}},
+		{name: "later", era: 2, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 60, Digest: 3}, want: "later"},
+		{name: "latest", era: 2, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 70, Digest: 4}, want: "latest"},
+		{name: "between", era: 2, isHolding: true, known: &core.KnownUpstreams{Era: 1, Revision: 65, Digest: 5}, want: "latest"},
+	}
+	r := newRoster()
+	for _, tt := range tests {
+		r.RecordHeartbeat(roster.Heartbeat{
+			Host: host(tt.name, "for-a", "for", 9), Revisions: core.Revisions{Era: tt.era}, HasKnowledge: tt.isHolding, KnownBefore: tt.known,
+		}, start)
+		peer, ok := r.PeerWithLaterKnowledge(2, known, start)
+		is.Equal(peer.Name, tt.want)
+		is.Equal(ok, tt.want != "")
+	}
+}
+
 // largeFleet returns n hosts in regions of three zones each. The first host is in
 // the first zone of the first region.
 func largeFleet(n, regions int) []core.Host {
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -175,6 +175,9 @@
 	heartbeat.ReadsStore = isReached && c.currentReadMode() == ReadAll
 	heartbeat.StoreAge = core.MillisecondsOf(storeAge)
 	heartbeat.HasKnowledge = c.replicator.HasKnowledge()
+	if known, ok := c.replicator.KnownBefore(); ok {
+		heartbeat.KnownBefore = &known
+	}
 	if confirmed := c.replicator.UpstreamsConfirmed(); !confirmed.IsZero() {
 		heartbeat.UpstreamsAge = max(core.MillisecondsOf(now.Sub(confirmed)), 1)
 	}
--- a/entry/controller/restore_test.go
+++ b/entry/controller/restore_test.go
@@ -144,6 +144,61 @@
 	is.True(!isDraining(late))
 }
 
+// TestHostLearnsLastChangesBeforeRestore guards against requests to upstreams that drain or have
+// left, on a host that had not heard of it before a restore, unlike another host.
+func TestHostLearnsLastChangesBeforeRestore(t *testing.T) {
+	is := is.New(t)
+	drains := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Incarnation: 1}
+	leaves := core.Upstream{Name: "u-2", Service: "desk", Zone: "for-a", Address: "127.0.0.1:2", Incarnation: 1}
+	draining := drains
+	draining.Draining = true
+	list := func(era core.Era, revision uint64, upstreams ...core.Upstream) replicator.Snapshot {
+		return replicator.Snapshot{Era: era, Upstreams: &replicator.Upstreams{Revision: revision, List: upstreams}}
+	}
+	knowing, other := newBareController("knowing"), newBareController("other")
+	for _, c := range []*Controller{knowing, other} {
+		c.IsFirstStart = true
+		c.Init()
+		c.ApplyUpdate(list(1, 50, drains, leaves), time.Now())
+	}
+	knowing.ApplyUpdate(list(1, 51, draining), time.Now())
+	for _, c := range []*Controller{knowing, other} {
+		c.ApplyUpdate(list(2, 40, drains, leaves), time.Now())
+	}
+	is.True(!other.replicator.LacksKnowledge())
+	var asked atomic.Int64
+	address := serveSnapshots(t, knowing)
+	other.SnapshotAddress = func(core.Host) string {
+		asked.Add(1)
+		return address
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		other.learnFromPeers(ctx)
+	}()
+	isTold := func() bool {
+		held := other.replicator.Snapshot().Upstreams.List
+		return len(held) == 1 && held[0].Draining
+	}
+	for start := time.Now(); !isTold(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("the host has not learnt what drains and what has left")
+		}
+		receiveHeartbeats(other, knowing.newHeartbeat())
+	}
+	time.Sleep(3 * followInterval)
+	stop()
+	<-done
+	is.Equal(asked.Load(), int64(1))
+	is.Equal(*other.newHeartbeat().KnownBefore, *knowing.newHeartbeat().KnownBefore)
+	knowing.SnapshotAddress = other.SnapshotAddress
+	receiveHeartbeats(knowing, other.newHeartbeat())
+	_, hasPeer := knowing.peerToLearnFrom(time.Now())
+	is.True(!hasPeer)
+}
+
 // TestHostLearnsOfTimeBeforeRestore guards against requests to an upstream that drains, on a host
 // that started shortly before or after a restore and reads from the store that the upstream is
 // ready: it must ask a seed when it starts, or a host that says that it knows more.
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -186,16 +186,45 @@
 	if !c.IsFirstStart {
 		c.learnFromSeeds(ctx)
 	}
+	var last request
 	waiter.Every(ctx, followInterval, func(now time.Time) {
-		if !c.replicator.LacksKnowledge() || c.SnapshotAddress == nil {
+		peer, ok := c.peerToLearnFrom(now)
+		if !ok || c.SnapshotAddress == nil {
 			return
 		}
-		if peer, ok := c.roster.PeerWithKnowledge(c.replicator.Held().Era, now); ok {
-			c.learnFrom(c.SnapshotAddress(peer))
+		// A host that no longer knows more, but whose last heartbeat says so, is asked once.
+		known, _ := c.replicator.KnownBefore()
+		next := request{peer: peer.Name, known: known}
+		if next == last && !c.replicator.LacksKnowledge() {
+			return
+		}
+		if c.learnFrom(c.SnapshotAddress(peer)) {
+			last = next
 		}
 	})
 }
 
+// request is a request for what another host knew before a restore, by a host that knew the given
+// upstreams.
+type request struct {
+	peer  core.HostName
+	known core.KnownUpstreams
+}
+
+// peerToLearnFrom returns a host that knew more before a restore of the store than this one, which
+// started later, was cut off or had not heard of the last changes.
+func (c *Controller) peerToLearnFrom(now time.Time) (core.Host, bool) {
+	era := c.replicator.Held().Era
+	if c.replicator.LacksKnowledge() {
+		return c.roster.PeerWithKnowledge(era, now)
+	}
+	known, ok := c.replicator.KnownBefore()
+	if !ok {
+		return core.Host{}, false
+	}
+	return c.roster.PeerWithLaterKnowledge(era, known, now)
+}
+
 // learnFromSeeds asks the seeds until one of them answers.
 func (c *Controller) learnFromSeeds(ctx context.Context) {
 	for _, address := range *c.seeds.Load() {
--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -62,6 +62,15 @@
 	return heartbeat
 }
 
+// knowingBeat says what the host knew before a restore of the store beside the fields of
+// restoredBeat.
+func knowingBeat() roster.Heartbeat {
+	heartbeat := restoredBeat()
+	heartbeat.HasKnowledge = true
+	heartbeat.KnownBefore = &core.KnownUpstreams{Era: 12, Revision: 29, Digest: 1 << 31}
+	return heartbeat
+}
+
 // fullSnapshot has every field set that hosts pass on.
 var fullSnapshot = replicator.Snapshot{
 	Policy: &replicator.Policy{
@@ -111,6 +120,7 @@
 		{"heartbeat-of-borrower", lendingBeat(0, true)},
 		{"heartbeat-with-leaving", leavingBeat("desk-1", 1700000000002)},
 		{"heartbeat-after-restore", restoredBeat()},
+		{"heartbeat-with-knowledge", knowingBeat()},
 		{"snapshot", fullSnapshot},
 		{"snapshot-after-restore", restoredSnapshot()},
 		{"snapshot-unread", replicator.Snapshot{}},
