--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -135,7 +135,7 @@
 }
 
 // Choice is the upstream selected for one attempt. If none was selected, only IsThrottled,
-// ReopensIn, IsLeftToOthers and Room are meaningful.
+// IsLeftToOthers and Room are meaningful.
 type Choice struct {
 	Upstream core.Upstream
 	Region   core.RegionName
