Read the responses of upstreams strictly

What callers saw: a response with status 000 arrived as 200. Responses whose heads had a blank in the name of a field arrived as answers, with the line passed on, or with a body that was not the upstream's where the field was the length. Also accepted were statuses from 600, other major versions, a length beside chunks, chunks in HTTP/1.0, broken chunk lines and trailers.

Cause: heads and bodies were read by the HTTP library, which reads what it can make sense of and takes status 0 for "not set". Nothing checked the bytes against RFC 9110 and RFC 9112.

Change: package receiver parses the status line, field lines, framing, chunks, trailers and informational heads itself and returns core.ErrMalformed for what the RFCs do not allow. The exchanger reads responses and health checks with it. Such an attempt has an unknown outcome: it is retried where that is allowed, otherwise the client gets 502. The line upstream-answer-rejected names the upstream and the cause, malformed_responses counts them. Trailers are no longer merged into the header (RFC 9110, section 6.5.1), and responses go to clients in HTTP/1.1 whatever version the upstream has. Statuses 1xx and 204 with a body are refused, one length stated twice is accepted.

--- a/core/error.go
+++ b/core/error.go
@@ -26,6 +26,9 @@
 	ErrEarlierEra = ErrorNamespace.NewType("earlier-era")
 	// ErrPeer reports that another host gave no response or sent invalid data.
 	ErrPeer = ErrorNamespace.NewType("peer")
+	// ErrMalformed reports that a peer sent bytes that are no valid HTTP response. It comes
+	// from the readers of responses, which are not part of this package.
+	ErrMalformed = ErrorNamespace.NewType("malformed-response")
 )
 
 // IsNotFound reports whether err says that an object does not exist.
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -183,6 +183,7 @@
 		MaxBufferedBytes: c.MemoryLimit / responsesDivisor,
 		MaxConnections:   c.maxConnections,
 		OnLeaving:        c.recordLeaving,
+		OnMalformed:      c.recordMalformed,
 	}
 	c.forwarder = c.newForwarder()
 	c.seeds.Store(&c.Seeds)
--- /dev/null
+++ b/entry/controller/malformed.go
@@ -0,0 +1,21 @@
+package controller
+
+import (
+	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/logger"
+	"github.com/endiverun/endiverun/entry/meter"
+)
+
+// Causes of meter.MalformedResponses: who sent them.
+const (
+	malformedUpstream = "upstream"
+)
+
+// recordMalformed counts and logs bytes of an upstream that are no valid response.
+func (c *Controller) recordMalformed(upstream core.Upstream, err error) {
+	c.Meter.Count(meter.MalformedResponses, meter.Labels{
+		Service: string(upstream.Service), Zone: string(upstream.Zone), Cause: malformedUpstream,
+	})
+	c.Log.Event(logger.UpstreamAnswerRejected).
+		Str("upstream", string(upstream.Name)).Str("service", string(upstream.Service)).Err(err).Send()
+}
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -1,9 +1,7 @@
 package exchanger
 
 import (
-	"bufio"
 	"errors"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -12,31 +10,38 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
-	"github.com/endiverun/endiverun/entry/caller"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // receive reads the response to the attempt and skips up to
 // maxMismatchedResponses responses to other requests. Of a long response it
 // reads only the first part of the body; the returned stream then holds the
 // whole body.
-func (e *Exchanger) receive(conn *connection, attempt Attempt) (*fasthttp.Response, *BodyStream, error) {
+func (e *Exchanger) receive(conn *connection, attempt Attempt) (*received, error) {
 	response := fasthttp.AcquireResponse()
 	response.Header.SetNoDefaultContentType(true)
 	for range maxMismatchedResponses + 1 {
-		stream, err := e.readResponse(conn, response, attempt)
+		answer, err := e.readResponse(conn, response, attempt)
 		if err != nil {
 			fasthttp.ReleaseResponse(response)
-			return nil, nil, err
+			return nil, err
 		}
 		if e.matches(response, attempt) {
-			return response, stream, nil
+			return answer, nil
 		}
 		if response.ConnectionClose() {
 			break
 		}
 	}
 	fasthttp.ReleaseResponse(response)
-	return nil, nil, errMismatchedResponse
+	return nil, errMismatchedResponse
+}
+
+// received is a response that was read.
+type received struct {
+	response *fasthttp.Response
+	// stream is the body of a long response, otherwise nil.
+	stream *BodyStream
 }
 
 // errMismatchedResponse reports that only responses with the request id of
@@ -51,51 +56,19 @@
 
 // readResponse reads one response with its whole body, or returns a stream where
 // the response is long and belongs to the attempt.
-func (e *Exchanger) readResponse(conn *connection, response *fasthttp.Response, attempt Attempt) (*BodyStream, error) {
-	if err := readHead(response, conn.reader); err != nil {
+func (e *Exchanger) readResponse(conn *connection, response *fasthttp.Response, attempt Attempt) (*received, error) {
+	r := receiver.Receiver{Response: response, Source: conn.reader, Method: string(attempt.Header.Method())}
+	if err := r.ReadHead(); err != nil {
 		return nil, err
 	}
 	e.notifyLeaving(response, attempt)
-	isHeadRequest := attempt.Header.IsHead()
-	if shouldStream(response, isHeadRequest) && e.matches(response, attempt) {
-		return e.newStream(conn, attempt, response.Header.ContentLength())
-	}
-	return nil, readBody(response, conn.reader, isHeadRequest, int(e.MaxResponseBody))
-}
-
-// readBuffered reads one response with its whole body, of at most limit bytes.
-func readBuffered(response *fasthttp.Response, r *bufio.Reader, limit int) error {
-	if err := readHead(response, r); err != nil {
-		return err
-	}
-	return readBody(response, r, false, limit)
-}
-
-// readHead reads response heads until one that is not informational (1xx).
-func readHead(response *fasthttp.Response, r *bufio.Reader) error {
-	for {
-		if err := response.Header.Read(r); err != nil {
-			if errors.Is(err, io.EOF) {
-				return io.ErrUnexpectedEOF
-			}
-			return err
-		}
-		if response.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-}
-
-// readBody reads a body of at most limit bytes, unless the response has none.
-func readBody(response *fasthttp.Response, r *bufio.Reader, isHeadRequest bool, limit int) error {
-	if isHeadRequest {
-		response.SkipBody = true
-		return nil
-	}
-	if !hasBody(response) {
-		return nil
+	answer := &received{response: response}
+	if length, hasLength := r.Length(); hasLength && length > prefetchSize && e.matches(response, attempt) {
+		stream, err := e.newStream(conn, attempt, int(length))
+		answer.stream = stream
+		return answer, err
 	}
-	return caller.ReadBody(response, r, core.Bytes(limit))
+	return answer, r.ReadBody(e.MaxResponseBody)
 }
 
 // classify derives the result of an attempt from its response. Status 421 and
--- a/entry/exchanger/check.go
+++ b/entry/exchanger/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // Health is what an upstream says in the response to a health check.
@@ -36,6 +37,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	err := e.sendCheck(conn, upstream, path, response, now.Add(timeout))
+	e.notifyMalformed(upstream, err)
 	isClean := conn.releaseReader() == 0
 	if err == nil && isClean && !response.ConnectionClose() && conn.updateIdleTimeout(response) {
 		e.pool.put(endpointOf(upstream), conn, time.Now())
@@ -71,7 +73,11 @@
 	if written := writeRequest(conn, request, nil); written.err != nil {
 		return written.err
 	}
-	if err := readBuffered(response, conn.reader, int(e.MaxResponseBody)); err != nil {
+	r := receiver.Receiver{Response: response, Source: conn.reader, Method: fasthttp.MethodGet}
+	if err := r.ReadHead(); err != nil {
+		return err
+	}
+	if err := r.ReadBody(e.MaxResponseBody); err != nil {
 		return err
 	}
 	// A health check has no id, so this is a late response to a request on the connection.
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -26,6 +26,7 @@
 	"context"
 	"errors"
 	"math"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,6 +35,7 @@
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/entry/budgeter"
 	"github.com/endiverun/endiverun/entry/caller"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // HeaderNames are the names of the header fields between hosts and upstreams.
@@ -155,6 +157,9 @@
 	// OnLeaving is called as soon as the head of a response to an attempt says that its
 	// upstream drains; nil ignores it.
 	OnLeaving func(upstream core.Upstream)
+	// OnMalformed is called for each response, also to a health check, that is no valid one;
+	// nil ignores it.
+	OnMalformed func(upstream core.Upstream, err error)
 
 	pool     pool
 	buffered budgeter.Budget
@@ -315,17 +320,25 @@
 	request := e.newRequest(attempt)
 	defer fasthttp.ReleaseRequest(request)
 	write := startWrite(conn, request, attempt.Body)
-	response, stream, err := e.receive(conn, attempt)
+	answer, err := e.receive(conn, attempt)
 	if err != nil {
 		_ = conn.Close()
 		written := write.wait()
 		if written.err != nil && written.n == 0 {
 			return *notSent(placer.Broken, "send: "+written.err.Error()), false
 		}
+		e.notifyMalformed(attempt.Upstream, err)
 		return noResponse(err, attempt), false
 	}
+	return e.conclude(conn, attempt, write, answer)
+}
+
+// conclude returns the result of an attempt with a response. It reports whether the
+// connection may be reused.
+func (e *Exchanger) conclude(conn *connection, attempt Attempt, write *requestWrite, answer *received) (Result, bool) {
+	response := answer.response
 	result := e.classify(response)
-	result.Stream = stream
+	result.Stream = answer.stream
 	isReusable := !response.ConnectionClose() && conn.updateIdleTimeout(response)
 	if isReusable {
 		e.idleTimeouts.put(attempt.Upstream.Service, conn.idleTimeout)
@@ -333,8 +346,8 @@
 	if result.Response == nil {
 		fasthttp.ReleaseResponse(response)
 	}
-	if stream != nil {
-		stream.begin()
+	if result.Stream != nil {
+		result.Stream.begin()
 		return result, isReusable && write.isDone() && write.wait().err == nil
 	}
 	if !write.isDone() {
@@ -346,6 +359,14 @@
 	return result, isReusable && write.wait().err == nil
 }
 
+// notifyMalformed calls OnMalformed if the error says that an upstream sent bytes that are no
+// valid response.
+func (e *Exchanger) notifyMalformed(upstream core.Upstream, err error) {
+	if e.OnMalformed != nil && receiver.IsMalformed(err) {
+		e.OnMalformed(upstream, err)
+	}
+}
+
 // noResponse returns the result of an attempt without a usable response, which the
 // upstream may have run.
 func noResponse(err error, attempt Attempt) Result {
@@ -354,7 +375,7 @@
 	switch {
 	case isLate:
 		outcome = placer.Abandoned
-	case errors.Is(err, fasthttp.ErrTimeout):
+	case isTimeout(err):
 		// The TCP user timeout or the keep-alive probes expired: the upstream no longer
 		// acknowledges anything.
 		outcome = placer.Unreachable
@@ -366,3 +387,9 @@
 		TimedOut:      isLate,
 	}
 }
+
+// isTimeout reports whether an error is the end of a deadline or of the TCP user timeout.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/entry/exchanger/stream.go
+++ b/entry/exchanger/stream.go
@@ -4,13 +4,12 @@
 	"io"
 	"sync"
 	"time"
-
-	"github.com/valyala/fasthttp"
 )
 
 // prefetchSize is how many bytes of a long response body are read before any of
 // them is passed to the client. If the upstream breaks off earlier, the request
-// can still be retried at another one.
+// can still be retried at another one. Only bodies that state their length are streamed, so
+// that the client can tell a truncated body from a complete one.
 const prefetchSize = 128 << 10
 
 // BodyStream is the body of a long response, of which the first part has been read.
@@ -96,19 +95,3 @@
 		s.OnTruncated()
 	}
 }
-
-// shouldStream reports whether a response body is passed on before all of it has
-// arrived. Only bodies with a Content-Length are streamed, so that the client
-// can tell a truncated body from a complete one.
-func shouldStream(response *fasthttp.Response, isHeadRequest bool) bool {
-	return !isHeadRequest && response.Header.ContentLength() > prefetchSize && hasBody(response)
-}
-
-// hasBody reports whether the status of a response allows a body.
-func hasBody(response *fasthttp.Response) bool {
-	switch response.StatusCode() {
-	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
-		return false
-	}
-	return true
-}
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -55,6 +55,9 @@
 	Pauses Metric = "upstream_pauses"
 	// Retries counts retries by service.
 	Retries Metric = "retries"
+	// MalformedResponses counts responses that were no valid ones, by cause (who sent them:
+	// "upstream", "host" or "store") and, for upstreams, service and zone.
+	MalformedResponses Metric = "malformed_responses"
 	// StoreCalls counts calls to the platform's store by kind of call.
 	StoreCalls Metric = "store_calls"
 	// RequestTime is the time from a request to its response, by service and outcome.
