Refuse a body without a length whose connection was reset during the upload

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection. The client got that part as a complete answer.

Cause: a body without a length ends where the connection does. The operating system reports a reset once, to whichever of the two directions asks first. While the upload is being written that is often the writer (ECONNRESET), and the reader then finds a clean end of the connection.

Change: after such a body the exchanger ends the write and asks how it ended. A reset, or the end of the TCP user timeout, makes the attempt one of unknown outcome. If the upstream had ended its side cleanly and reset the connection only then, Linux reports EPIPE to the writer and the end to the reader, so a whole early 413 without a length still counts; TestEarlyResponse has that case.

--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -42,6 +42,8 @@
 	response *fasthttp.Response
 	// stream is the body of a long response, otherwise nil.
 	stream *BodyStream
+	// endsWithConnection says that the body has no other end than that of the connection.
+	endsWithConnection bool
 }
 
 // errMismatchedResponse reports that only responses with the request id of
@@ -62,7 +64,7 @@
 		return nil, err
 	}
 	e.notifyLeaving(response, attempt)
-	answer := &received{response: response}
+	answer := &received{response: response, endsWithConnection: r.EndsWithConnection()}
 	if length, hasLength := r.Length(); hasLength && length > prefetchSize && e.matches(response, attempt) {
 		stream, err := e.newStream(conn, attempt, int(length))
 		answer.stream = stream
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -321,6 +321,9 @@
 	defer fasthttp.ReleaseRequest(request)
 	write := startWrite(conn, request, attempt.Body)
 	answer, err := e.receive(conn, attempt)
+	if err == nil && answer.endsWithConnection {
+		err = e.confirmEnd(conn, write, answer)
+	}
 	if err != nil {
 		_ = conn.Close()
 		written := write.wait()
@@ -333,6 +336,18 @@
 	return e.conclude(conn, attempt, write, answer)
 }
 
+// confirmEnd returns an error if the connection was reset before the end of a body that ends
+// with it. The system may have told only the writer of the request of the reset.
+func (e *Exchanger) confirmEnd(conn *connection, write *requestWrite, answer *received) error {
+	_ = conn.Close()
+	written := write.wait()
+	if !receiver.IsCut(written.err) {
+		return nil
+	}
+	fasthttp.ReleaseResponse(answer.response)
+	return written.err
+}
+
 // conclude returns the result of an attempt with a response. It reports whether the
 // connection may be reused.
 func (e *Exchanger) conclude(conn *connection, attempt Attempt, write *requestWrite, answer *received) (Result, bool) {
--- a/entry/exchanger/malformed_test.go
+++ b/entry/exchanger/malformed_test.go
@@ -1,8 +1,12 @@
 package exchanger_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -184,6 +188,95 @@
 	return "failed with status 599"
 }
 
+// uploadSize is the size in bytes of a request body that is still being sent when the upstream
+// responds: it exceeds what the sockets buffer.
+const uploadSize = 1 << 20
+
+// early returns a script that reads the beginning of a request and then responds.
+func early(response string, end func(conn net.Conn)) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		end(conn)
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// drainTime is how long an upstream that has responded reads what the host still sends.
+const drainTime = 100 * time.Millisecond
+
+// closeCleanly ends what the upstream sends, and reads what the host still sends.
+func closeCleanly(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(drainTime))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// TestResetDuringUpload guards against taking the first part of a body without a length for a
+// whole one if the upstream resets the connection during an upload. The system tells only one
+// of the two directions of the reset; for the other the connection just ends.
+func TestResetDuringUpload(t *testing.T) {
+	const tries = 60
+	answered := 0
+	for range tries {
+		upstream := serve(t, early(okHead+"\r\nfirst part", reset))
+		result := newExchanger().Do(t.Context(), attempt(upstream, strings.Repeat("u", uploadSize)))
+		if result.State == core.Answered {
+			answered++
+		}
+		result.Close()
+	}
+	if answered > 0 {
+		t.Errorf("%d of %d responses passed as whole", answered, tries)
+	}
+}
+
+// TestEarlyResponse covers responses that come whole during an upload, after which the upstream
+// closes the connection.
+func TestEarlyResponse(t *testing.T) {
+	const head = "HTTP/1.1 413 Too Large\r\nRequest-Id: id-1\r\n"
+	tests := []struct {
+		name, response string
+		end            func(conn net.Conn)
+	}{
+		{"with a length", head + "Content-Length: 5\r\n\r\nlarge", closeCleanly},
+		{"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nlarge\r\n0\r\n\r\n", closeCleanly},
+		{"without a length", head + "\r\nlarge", closeCleanly},
+		{"with a length, then a reset", head + "Content-Length: 5\r\n\r\nlarge", reset},
+		{"without a length, then an end and a reset", head + "\r\nlarge", func(conn net.Conn) {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			_ = conn.Close() // The unread bytes make it a reset.
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for range 20 {
+				is := is.New(t)
+				upstream := serve(t, early(tt.response, tt.end))
+				result := newExchanger().Do(t.Context(), attempt(upstream, strings.Repeat("u", uploadSize)))
+				is.Equal(result.FailureReason, "")
+				is.Equal(result.State, core.Answered)
+				is.Equal(result.Response.StatusCode(), 413)
+				is.Equal(string(result.Response.Body()), "large")
+				result.Close()
+			}
+		})
+	}
+}
+
 // TestMalformedHealthResponses covers health checks, which read responses as attempts do.
 func TestMalformedHealthResponses(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nInstance: u-1\r\nLeaving: 1\r\n"
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -8,6 +8,10 @@
 // (line feeds alone, values over several lines, a length beside chunks) and accepts the rest
 // (a missing reason with the blank before it, one length stated twice).
 //
+// A body without a length ends with its connection, which must be closed cleanly. If a request
+// is still being written then, the system may report a reset of the connection to the writer
+// alone, and the reader finds a clean end. Whoever writes must then ask IsCut.
+//
 // Memory is bounded whatever a peer sends: a head must fit in the read buffer, and so must the
 // line before a chunk. Informational responses, trailers, chunk extensions and bodies
 // have limits.
@@ -30,6 +34,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -54,6 +59,13 @@
 // IsMalformed reports whether err says that a peer sent bytes that are no valid response.
 func IsMalformed(err error) bool { return errorx.IsOfType(err, core.ErrMalformed) }
 
+// IsCut reports whether the error of a write shows that the peer reset the connection before
+// the end of its response. A body that ended with the connection then has no known end. A
+// reset that follows the clean end of a body is reported as a broken pipe, and cuts nothing.
+func IsCut(writeErr error) bool {
+	return errors.Is(writeErr, syscall.ECONNRESET) || errors.Is(writeErr, syscall.ETIMEDOUT)
+}
+
 // Receiver reads one response.
 type Receiver struct {
 	// Response gets the head and the body.
