Read all other responses with the strict reader

A status 000 of the store counted as 200, for example.

Cause: each called the HTTP library by itself, in three ways.

Change: entry and its health checks read with package receiver; the clients of the library read through receiver.Transport, which keeps their pools of connections. A response of the store or of another host that is refused counts as none, so a write may have taken effect. Whole responses that come before the end of a long request are now used (TestTransportEarlyResponse failed with the library), and a connection with bytes after a response is not used again (TestTransportKeepsConnections failed). The line store-answer-rejected is new, malformed_responses counts by who sent the bytes, and entry has the counter malformed-responses.

A reset during a long request (TestTransportReset) was handled by the library already.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -24,14 +24,13 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
-	"io"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // Names of the header fields between hosts and upstreams. A request carries the id of
@@ -86,6 +85,8 @@
 	// StaleConnection says that RunState is RunUnknown and that the connection was a reused
 	// one, which the upstream may have closed before the request was sent.
 	StaleConnection bool
+	// IsMalformed says that the upstream sent bytes that are no valid response.
+	IsMalformed bool
 	// IsDraining says that the upstream announced that it is draining.
 	IsDraining bool
 	// FailureReason is why the attempt failed, for logs and traces.
@@ -97,7 +98,7 @@
 	// Dial opens connections.
 	Dial DialFunc
 	// MaxResponseBody is the largest response body that is read, in bytes. A larger one
-	// fails the attempt; 0 means no limit.
+	// fails the attempt; 0 means the limit of package receiver.
 	MaxResponseBody core.Bytes
 
 	pool connectionPool
@@ -136,9 +137,10 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	response.SkipBody = attempt.Request.Method == fasthttp.MethodHead
-	if failure := readResponse(response, conn.reader, c.MaxResponseBody); failure != "" {
-		return unknownResult(failure), false
+	if err := readResponse(response, conn.reader, attempt.Request.Method, c.MaxResponseBody); err != nil {
+		result := unknownResult("receive: " + err.Error())
+		result.IsMalformed = receiver.IsMalformed(err)
+		return result, false
 	}
 	return classify(response, attempt)
 }
@@ -178,50 +180,20 @@
 	}
 }
 
-// contentLengthIdentity is the content length that fasthttp reports for a response
-// without Content-Length or chunked encoding. Its body ends when the connection is
-// closed, so a truncated body would look complete.
-const contentLengthIdentity = -2
-
-// readResponse reads a response and returns why that failed, or an empty string.
-func readResponse(response *fasthttp.Response, r *bufio.Reader, limit core.Bytes) string {
-	for {
-		if err := response.Header.Read(r); err != nil {
-			return "receive: " + err.Error()
-		}
-		if response.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-	}
-	isEmpty := response.StatusCode() == fasthttp.StatusNoContent || response.StatusCode() == fasthttp.StatusNotModified
-	if response.SkipBody || isEmpty {
-		return ""
-	}
-	if response.Header.ContentLength() == contentLengthIdentity {
-		return "the response states no length"
-	}
-	if err := ReadBody(response, r, limit); err != nil {
-		return "receive: " + err.Error()
-	}
-	return ""
-}
-
-// contentLengthChunked is the content length that fasthttp reports for a body in chunks.
-const contentLengthChunked = -1
+// errNoLength reports a response whose body ends with its connection. A truncated body would
+// look complete.
+var errNoLength = core.ErrMalformed.New("the response states no length")
 
-// ReadBody reads the body of a response whose head has been read, of at most limit bytes; 0
-// means no limit. A body in chunks ends with a trailer: fields, often none, and an empty
-// line. Without that line the response is not complete and ReadBody returns an error.
-func ReadBody(response *fasthttp.Response, r *bufio.Reader, limit core.Bytes) error {
-	isChunked := response.Header.ContentLength() == contentLengthChunked
-	if err := response.ReadBody(r, int(limit)); err != nil || !isChunked {
+// readResponse reads a response.
+func readResponse(response *fasthttp.Response, r *bufio.Reader, method string, limit core.Bytes) error {
+	receiver := receiver.Receiver{Response: response, Source: r, Method: method}
+	if err := receiver.ReadHead(); err != nil {
 		return err
 	}
-	err := response.Header.ReadTrailer(r)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
+	if receiver.EndsWithConnection() {
+		return errNoLength
 	}
-	return err
+	return receiver.ReadBody(limit)
 }
 
 // classify derives the result of an attempt from a response. It reports whether the
--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 const (
@@ -37,6 +38,9 @@
 	Eras             EraTracker
 	// OnCall is called with the operation of each call before it is made; it may be nil.
 	OnCall func(operation string)
+	// OnMalformed is called with the store's address for each answer that is no valid response;
+	// it may be nil.
+	OnMalformed func(address string, err error)
 
 	client      fasthttp.Client
 	watchClient fasthttp.Client
@@ -48,14 +52,23 @@
 // NewStoreClient returns a client of the store at an IP address and port.
 func NewStoreClient(address string, dial DialFunc) *StoreClient {
 	dialStore := func(addr string) (net.Conn, error) { return dial("tcp", addr, storeDialTimeout) }
-	return &StoreClient{
-		Address: address,
-		client:  newHTTPClient(dialStore), watchClient: newHTTPClient(dialStore), confirmClient: newHTTPClient(dialStore),
+	c := &StoreClient{Address: address}
+	transport := &receiver.Transport{OnMalformed: c.notifyMalformed}
+	c.client = newHTTPClient(dialStore, transport)
+	c.watchClient = newHTTPClient(dialStore, transport)
+	c.confirmClient = newHTTPClient(dialStore, transport)
+	return c
+}
+
+func (c *StoreClient) notifyMalformed(address string, err error) {
+	if c.OnMalformed != nil {
+		c.OnMalformed(address, err)
 	}
 }
 
-func newHTTPClient(dial fasthttp.DialFunc) fasthttp.Client {
+func newHTTPClient(dial fasthttp.DialFunc, transport fasthttp.RoundTripper) fasthttp.Client {
 	return fasthttp.Client{
+		Transport:           transport,
 		Dial:                dial,
 		MaxResponseBodySize: int(maxStoreBody),
 		// The library must not retry: a call without an answer may have been executed.
--- a/entry/caller/health.go
+++ b/entry/caller/health.go
@@ -51,7 +51,7 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	if err := response.ReadLimitBody(conn.reader, int(maxReportSize)); err != nil {
+	if err := readResponse(response, conn.reader, fasthttp.MethodGet, maxReportSize); err != nil {
 		return err
 	}
 	if target == nil {
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -185,6 +185,7 @@
 		OnLeaving:        c.recordLeaving,
 		OnMalformed:      c.recordMalformed,
 	}
+	c.fetcher.OnMalformed = c.recordMalformedHost
 	c.forwarder = c.newForwarder()
 	c.seeds.Store(&c.Seeds)
 	c.gracePeriod.Store(int64(c.Bounds.GracePeriod))
--- a/entry/controller/malformed.go
+++ b/entry/controller/malformed.go
@@ -9,6 +9,7 @@
 // Causes of meter.MalformedResponses: who sent them.
 const (
 	malformedUpstream = "upstream"
+	malformedHost     = "host"
 )
 
 // recordMalformed counts and logs bytes of an upstream that are no valid response.
@@ -19,3 +20,9 @@
 	c.Log.Event(logger.UpstreamAnswerRejected).
 		Str("upstream", string(upstream.Name)).Str("service", string(upstream.Service)).Err(err).Send()
 }
+
+// recordMalformedHost counts bytes of another host that are no valid response. The call that
+// got them logs them.
+func (c *Controller) recordMalformedHost(string, error) {
+	c.Meter.Count(meter.MalformedResponses, meter.Labels{Cause: malformedHost})
+}
--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -29,6 +29,9 @@
 	// PlatformCalls counts calls to the platform's store by kind of call. A watch counts as
 	// one call.
 	PlatformCalls *expvar.Map
+	// MalformedResponses counts responses that were no valid ones by who sent them: upstream or
+	// platform.
+	MalformedResponses *expvar.Map
 	// LinkBytes counts bytes sent over links between regions by destination region.
 	LinkBytes *expvar.Map
 	// ControlBytes counts bytes of heartbeats by direction, sent or received.
@@ -42,17 +45,18 @@
 // New returns a set in which all metrics are zero.
 func New() *Set {
 	s := &Set{
-		Requests:        new(expvar.Map).Init(),
-		Responses:       new(expvar.Map).Init(),
-		Refused:         new(expvar.Map).Init(),
-		UnknownOutcomes: new(expvar.Map).Init(),
-		Attempts:        new(expvar.Map).Init(),
-		Forwards:        new(expvar.Map).Init(),
-		PlatformCalls:   new(expvar.Map).Init(),
-		LinkBytes:       new(expvar.Map).Init(),
-		ControlBytes:    new(expvar.Map).Init(),
-		RouteQueries:    new(expvar.Int),
-		variables:       new(expvar.Map).Init(),
+		Requests:           new(expvar.Map).Init(),
+		Responses:          new(expvar.Map).Init(),
+		Refused:            new(expvar.Map).Init(),
+		UnknownOutcomes:    new(expvar.Map).Init(),
+		Attempts:           new(expvar.Map).Init(),
+		Forwards:           new(expvar.Map).Init(),
+		PlatformCalls:      new(expvar.Map).Init(),
+		MalformedResponses: new(expvar.Map).Init(),
+		LinkBytes:          new(expvar.Map).Init(),
+		ControlBytes:       new(expvar.Map).Init(),
+		RouteQueries:       new(expvar.Int),
+		variables:          new(expvar.Map).Init(),
 	}
 	s.variables.Set("requests", s.Requests)
 	s.variables.Set("answered", s.Responses)
@@ -61,6 +65,7 @@
 	s.variables.Set("attempts", s.Attempts)
 	s.variables.Set("forwards", s.Forwards)
 	s.variables.Set("platform-calls", s.PlatformCalls)
+	s.variables.Set("malformed-responses", s.MalformedResponses)
 	s.variables.Set("link-bytes", s.LinkBytes)
 	s.variables.Set("control-bytes", s.ControlBytes)
 	s.variables.Set("routes", s.RouteQueries)
--- a/entry/heartbeater/snapshot.go
+++ b/entry/heartbeater/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/replicator"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // SnapshotPath is the path under which a host serves its snapshot of the store to
@@ -79,9 +81,20 @@
 
 // Fetcher fetches snapshots of the store from other hosts.
 type Fetcher struct {
+	// OnMalformed is called with the address of a host that sends bytes that are no valid
+	// response; it may be nil.
+	OnMalformed func(address string, err error)
+
+	init   sync.Once
 	client fasthttp.Client
 }
 
+// prepare sets up the HTTP client.
+func (f *Fetcher) prepare() {
+	f.client.Transport = &receiver.Transport{OnMalformed: f.OnMalformed}
+	f.client.MaxResponseBodySize = int(maxSnapshotSize)
+}
+
 // Fetch returns the parts of the snapshot of the host at the address that are newer
 // than the held revisions. The error is of type core.ErrPeer.
 func (f *Fetcher) Fetch(address string, held core.Revisions, timeout time.Duration) (replicator.Snapshot, error) {
@@ -90,7 +103,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + SnapshotPath + "?" + EncodeRevisions(held))
-	f.client.MaxResponseBodySize = int(maxSnapshotSize)
+	f.init.Do(f.prepare)
 	if err := f.client.DoTimeout(request, response, timeout); err != nil {
 		return replicator.Snapshot{}, core.ErrPeer.Wrap(err, "snapshot from %s", address)
 	}
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -74,6 +74,8 @@
 	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
 	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
+	StoreAnswerRejected = Event{309, "store-answer-rejected", zerolog.WarnLevel, "The store sent bytes that are no valid response."}
+
 	PeerSilent   = Event{400, "peer-silent", zerolog.WarnLevel, "Another host did not respond; the connection to it was replaced."}
 	PeerRejected = Event{401, "peer-rejected", zerolog.WarnLevel, "Data from another host cannot be decoded."}
 	PeerExpired  = Event{402, "peer-expired", zerolog.WarnLevel, "No heartbeat arrived from another host within the expiry time."}
@@ -130,6 +132,7 @@
 	HostStarted, HostReady, HostLeaving, HostStopped, HostStopTimeout,
 	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
 	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed, StoreRestored, EraUnreadable,
+	StoreAnswerRejected,
 	PeerSilent, PeerRejected, PeerExpired, PeerFound,
 	UpstreamLeaving, UpstreamAnswerRejected, RequestOutcomeUnknown,
 	RequestRetried, RequestRefused, RequestCut, UpstreamFailed,
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -1,4 +1,5 @@
-// Package receiver reads HTTP/1.1 responses strictly.
+// Package receiver reads HTTP/1.1 responses strictly. All programs read the responses of
+// upstreams, of the platform's store and of other hosts with it.
 //
 // A response is accepted only if RFC 9110 and RFC 9112 allow each of its bytes: the status
 // line, the field lines, the framing of the body, the chunks, the trailer, and informational
@@ -28,6 +29,10 @@
 //		return err
 //	}
 //	return r.ReadBody(limit)
+//
+// Others let a fasthttp.Client do that:
+//
+//	client := fasthttp.Client{Transport: &receiver.Transport{}, MaxResponseBodySize: limit}
 package receiver
 
 import (
--- a/entry/server/request.go
+++ b/entry/server/request.go
@@ -194,6 +194,9 @@
 		s.steerer.Balancer.SetDraining(step.Upstream.Name)
 	}
 	if result.RunState == core.RunUnknown {
+		if result.IsMalformed {
+			s.counters.MalformedResponses.Add("upstream", 1)
+		}
 		s.log.Event(logger.UpstreamAnswerRejected).Str("upstream", string(step.Upstream.Name)).Str("fault", result.FailureReason).Send()
 	}
 	return dispatcher.Result{
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -168,6 +168,10 @@
 		Timeout: s.Settings.Platform.Timeout.Duration(),
 		Dial:    s.Network.DialPlatform,
 		OnCall:  func(call string) { s.counters.PlatformCalls.Add(call, 1) },
+		OnMalformed: func(address string, err error) {
+			s.counters.MalformedResponses.Add("platform", 1)
+			s.log.Event(logger.StoreAnswerRejected).Str("store", address).Err(err).Send()
+		},
 	}
 	s.storer.Init()
 	s.claims = newClaimBatcher(s.host.Instance(), s.storer.Store(), s.now)
--- a/entry/storer/storer.go
+++ b/entry/storer/storer.go
@@ -15,7 +15,6 @@
 package storer
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"io"
@@ -29,6 +28,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/entry/caller"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // basePath is the path prefix of the API.
@@ -64,6 +64,9 @@
 	Timeout time.Duration
 	// OnCall is called at the start of every call and watch; nil ignores them.
 	OnCall func(call string)
+	// OnMalformed is called with the platform's address for each answer that is no valid
+	// response; nil ignores it.
+	OnMalformed func(address string, err error)
 	// Dial opens connections; nil means TCP.
 	Dial fasthttp.DialFunc
 
@@ -76,7 +79,9 @@
 
 // Init sets up the HTTP clients. It must be called once, before the first call.
 func (s *Storer) Init() {
+	transport := &receiver.Transport{OnMalformed: s.OnMalformed}
 	s.client = fasthttp.Client{
+		Transport:           transport,
 		Dial:                s.Dial,
 		ReadTimeout:         s.Timeout,
 		WriteTimeout:        s.Timeout,
@@ -86,6 +91,7 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	s.watchClient = fasthttp.Client{
+		Transport:                 transport,
 		Dial:                      s.dialWatch,
 		StreamResponseBody:        true,
 		MaxIdemponentCallAttempts: 1,
@@ -246,7 +252,7 @@
 
 // readEvents decodes a stream of JSON events.
 func readEvents(stream io.Reader, handle func(Event) bool) error {
-	decoder := json.NewDecoder(bufio.NewReader(stream))
+	decoder := json.NewDecoder(stream)
 	for {
 		var event Event
 		err := decoder.Decode(&event)
--- a/operator/asker/asker.go
+++ b/operator/asker/asker.go
@@ -16,11 +16,13 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // Problem types that are mapped to distinct errors.
@@ -48,6 +50,19 @@
 	Token string
 	// Timeout is the time limit of a call to one host.
 	Timeout time.Duration
+
+	init   sync.Once
+	client fasthttp.Client
+}
+
+// maxResponseSize is the largest response of a host that is read. A ticket has at most a
+// megabyte, and a status a line for each host and upstream.
+const maxResponseSize = 16 * core.Mebibyte
+
+// prepare sets up the HTTP client.
+func (a *APIClient) prepare() {
+	a.client.Transport = &receiver.Transport{}
+	a.client.MaxResponseBodySize = int(maxResponseSize)
 }
 
 // ApplyResponse is the response to an accepted ticket, or to a valid one that was only
@@ -231,7 +246,8 @@
 		request.Header.SetContentType("application/json")
 		request.SetBodyRaw(body)
 	}
-	if err := fasthttp.DoTimeout(request, response, a.Timeout); err != nil {
+	a.init.Do(a.prepare)
+	if err := a.client.DoTimeout(request, response, a.Timeout); err != nil {
 		return fmt.Errorf("%s: %w: %w", host, ErrUnreachable, err)
 	}
 	if response.StatusCode() == fasthttp.StatusOK {
