--- a/entry/receiver/peers_test.go
+++ b/entry/receiver/peers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	name string
 	// fields and body are those of a response that the call accepts.
 	fields, body string
+	// limit is the largest body that the call reads.
+	limit core.Bytes
 	// call makes a call to the peer at an address, and fails if it accepts no response.
 	call func(address string) error
 }
@@ -34,8 +37,8 @@
 func peers() []peer {
 	deadline := time.Now().Add(time.Hour)
 	return []peer{
-		{"upstream, health check", "Instance: u-1\r\n", "ok", checkHealth},
-		{"upstream of entry", "Endiverun-Attempt: a.1.1\r\n", "ok", func(address string) error {
+		{"upstream, health check", "Instance: u-1\r\n", "ok", core.Mebibyte, checkHealth},
+		{"upstream of entry", "Endiverun-Attempt: a.1.1\r\n", "ok", core.Mebibyte, func(address string) error {
 			c := &caller.Caller{Dial: caller.DialTCP, MaxResponseBody: core.Mebibyte}
 			defer c.Close()
 			request := core.Request{Method: "GET", Path: "/", Deadline: deadline}
@@ -45,27 +48,27 @@
 			}
 			return nil
 		}},
-		{"upstream of entry, health report", "", "{}", func(address string) error {
+		{"upstream of entry, health report", "", "{}", 4 * core.Kibibyte, func(address string) error {
 			c := &caller.Caller{Dial: caller.DialTCP}
 			_, err := c.FetchHealth(core.Upstream{Address: address}, callTimeout, time.Now())
 			return err
 		}},
-		{"store", "", "{}", func(address string) error {
+		{"store", "", "{}", 4 * core.Mebibyte, func(address string) error {
 			c := caller.NewStoreClient(address, caller.NewDialer(callTimeout))
 			var object map[string]any
 			_, err := c.Do(caller.StoreCall{Operation: "get", Method: fasthttp.MethodGet, Path: "/objects/config/main", Wait: callTimeout}, &object)
 			return err
 		}},
-		{"store of entry", "", "{}", func(address string) error {
+		{"store of entry", "", "{}", 2 * core.Mebibyte, func(address string) error {
 			_, err := newStorer(address).Get("ticket", "7")
 			return err
 		}},
-		{"store of entry, watch", "", "{}", func(address string) error {
+		{"store of entry, watch", "", "{}", 4 * core.Mebibyte, func(address string) error {
 			s := newStorer(address)
 			defer s.Close()
 			return s.Watch("ticket", 1, callTimeout, func(storer.Event) bool { return true })
 		}},
-		{"another host", "", "\xa0", func(address string) error {
+		{"another host", "", "\xa0", 16 * core.Mebibyte, func(address string) error {
 			var f heartbeater.Fetcher
 			_, err := f.Fetch(address, core.Revisions{}, callTimeout)
 			return err
@@ -156,3 +159,54 @@
 		}
 	}
 }
+
+// TestEndlessResponsesOfPeers guards against running out of memory when a peer never stops
+// sending: the call must read a limited number of bytes and then close the connection.
+func TestEndlessResponsesOfPeers(t *testing.T) {
+	// The socket buffers take some megabytes in addition to what the host reads.
+	const socketBuffers = 16 * core.Mebibyte
+	const chunked = "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n"
+	tests := []struct {
+		name, head, repeated string
+	}{
+		{"head of one field", "HTTP/1.1 200 OK\r\nFIELDSX: ", "x"},
+		{"head of fields", "HTTP/1.1 200 OK\r\nFIELDS", "X: x\r\n"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"no response at all", "", "\x00\xff"},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body without a length", "HTTP/1.1 200 OK\r\nFIELDS\r\n\"", "x"},
+		{"body with a long length", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 99999999999\r\n\r\n\"", "x"},
+		{"body in chunks", chunked + "1\r\n\"\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		{"body in small chunks", chunked + "1\r\n\"\r\n", "1\r\nx\r\n"},
+		{"one chunk", chunked + "fffffffff\r\n\"", "x"},
+		{"size of a chunk", chunked, "0"},
+		{"extension of a chunk", chunked + "1;", "x"},
+		{"extensions of all chunks", chunked, "1;" + strings.Repeat("x", 1024) + "\r\n \r\n"},
+		{"trailer of one field", chunked + "0\r\nX: ", "x"},
+		{"trailer of fields", chunked + "0\r\n", "X: x\r\n"},
+	}
+	for _, p := range peers() {
+		for _, tt := range tests {
+			t.Run(p.name+", "+tt.name, func(t *testing.T) {
+				t.Parallel()
+				var sent atomic.Int64
+				address := serve(t, respondWith(func(conn net.Conn) {
+					piece := strings.Repeat(tt.repeated, 1+4096/len(tt.repeated))
+					_, err := io.WriteString(conn, strings.ReplaceAll(tt.head, "FIELDS", p.fields))
+					for err == nil {
+						_, err = io.WriteString(conn, piece)
+						sent.Add(int64(len(piece)))
+					}
+				}))
+				if p.call(address) == nil {
+					t.Error("accepted")
+				}
+				// A chunk of one byte takes six on the wire.
+				const overhead = 6
+				if sent.Load() > int64(overhead*p.limit+socketBuffers) {
+					t.Errorf("%d bytes sent, the limit of a body is %d", sent.Load(), p.limit)
+				}
+			})
+		}
+	}
+}
--- a/entry/storer/storer.go
+++ b/entry/storer/storer.go
@@ -250,12 +250,21 @@
 	return readEvents(response.BodyStream(), handle)
 }
 
-// readEvents decodes a stream of JSON events.
+// maxEventSize is the largest size of an event in a watch. It has room for an object, what the
+// store adds to it, and what the decoder reads of the next event.
+const maxEventSize = 4 * maxObjectSize
+
+// readEvents decodes a stream of JSON events of at most maxEventSize each.
 func readEvents(stream io.Reader, handle func(Event) bool) error {
-	decoder := json.NewDecoder(stream)
+	limited := &io.LimitedReader{R: stream}
+	decoder := json.NewDecoder(limited)
 	for {
 		var event Event
+		limited.N = int64(maxEventSize)
 		err := decoder.Decode(&event)
+		if err != nil && limited.N == 0 {
+			return core.ErrPlatform.New("event of more than %d bytes", maxEventSize)
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/operator/asker/malformed_test.go
+++ b/operator/asker/malformed_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,3 +57,34 @@
 		})
 	}
 }
+
+// TestEndlessResponse guards against running out of memory when a host never stops sending.
+func TestEndlessResponse(t *testing.T) {
+	// The client reads bodies of up to 16 MiB; the socket buffers take some more.
+	const maxSent = 32 << 20
+	tests := []struct{ name, head, repeated string }{
+		{"head", "HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n\"", "x"},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("1", 1024) + "\r\n"},
+		{"extension of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			a := respondWith(t, func(conn net.Conn) {
+				piece := strings.Repeat(tt.repeated, 1+4096/len(tt.repeated))
+				_, err := io.WriteString(conn, tt.head)
+				for err == nil {
+					_, err = io.WriteString(conn, piece)
+					sent.Add(int64(len(piece)))
+				}
+			})
+			_, err := a.Status(a.Hosts[0])
+			is.True(errors.Is(err, asker.ErrUnreachable))
+			is.True(sent.Load() < maxSent)
+		})
+	}
+}
