--- a/demo/driver/driver.go
+++ b/demo/driver/driver.go
@@ -33,6 +33,7 @@
 	"github.com/endiverun/endiverun/demo/responder"
 	"github.com/endiverun/endiverun/entry/caller"
 	"github.com/endiverun/endiverun/entry/listener"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // Limits of a client's requests.
@@ -140,6 +141,7 @@
 	if h == nil {
 		h = &fasthttp.HostClient{
 			Addr:                      address,
+			Transport:                 &receiver.Transport{},
 			MaxConns:                  maxConnections,
 			MaxIdleConnDuration:       idleTimeout,
 			MaxIdemponentCallAttempts: 1,
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -24,6 +24,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"strconv"
 	"time"
 
@@ -182,7 +183,7 @@
 
 // errNoLength reports a response whose body ends with its connection. A truncated body would
 // look complete.
-var errNoLength = core.ErrMalformed.New("the response states no length")
+var errNoLength = errors.New("the response states no length")
 
 // readResponse reads a response.
 func readResponse(response *fasthttp.Response, r *bufio.Reader, method string, limit core.Bytes) error {
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -26,7 +26,6 @@
 	"context"
 	"errors"
 	"math"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -390,7 +389,7 @@
 	switch {
 	case isLate:
 		outcome = placer.Abandoned
-	case isTimeout(err):
+	case receiver.IsTimeout(err):
 		// The TCP user timeout or the keep-alive probes expired: the upstream no longer
 		// acknowledges anything.
 		outcome = placer.Unreachable
@@ -402,9 +401,3 @@
 		TimedOut:      isLate,
 	}
 }
-
-// isTimeout reports whether an error is the end of a deadline or of the TCP user timeout.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -39,6 +39,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"syscall"
 
 	"github.com/joomcode/errorx"
@@ -64,6 +65,13 @@
 // IsMalformed reports whether err says that a peer sent bytes that are no valid response.
 func IsMalformed(err error) bool { return errorx.IsOfType(err, core.ErrMalformed) }
 
+// IsTimeout reports whether an error of a connection is the end of a deadline or of the TCP user
+// timeout.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // IsCut reports whether the error of a write shows that the peer reset the connection before
 // the end of its response. A body that ended with the connection then has no known end. A
 // reset that follows the clean end of a body is reported as a broken pipe, and cuts nothing.
--- a/entry/receiver/transport.go
+++ b/entry/receiver/transport.go
@@ -24,7 +24,7 @@
 }
 
 // RoundTrip sends a request and reads its response. It reports whether the request may be
-// retried if it is idempotent.
+// retried if it is idempotent. The error is fasthttp.ErrTimeout after the timeout.
 func (t *Transport) RoundTrip(client *fasthttp.HostClient, request *fasthttp.Request, response *fasthttp.Response) (bool, error) {
 	timeout := request.GetTimeOut()
 	pooled, err := client.AcquireConn(timeout, request.ConnectionClose())
@@ -40,6 +40,9 @@
 	if IsMalformed(err) && t.OnMalformed != nil {
 		t.OnMalformed(client.Addr, err)
 	}
+	if IsTimeout(err) {
+		return false, fasthttp.ErrTimeout
+	}
 	return errors.Is(err, io.EOF), err
 }
 
