Accept health reports without a length, as before

The strict reading of the reports that upstreams of entry give of their health had refused those whose body ends with the connection, which were accepted before. TestMalformedResponsesOfPeers has the case, and one in chunks, for each reader; it failed for the health report.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -185,16 +185,16 @@
 // look complete.
 var errNoLength = errors.New("the response states no length")
 
-// readResponse reads a response.
-func readResponse(response *fasthttp.Response, r *bufio.Reader, method string, limit core.Bytes) error {
-	receiver := receiver.Receiver{Response: response, Source: r, Method: method}
-	if err := receiver.ReadHead(); err != nil {
+// readResponse reads a response that states its length or is in chunks.
+func readResponse(response *fasthttp.Response, source *bufio.Reader, method string, limit core.Bytes) error {
+	r := receiver.Receiver{Response: response, Source: source, Method: method}
+	if err := r.ReadHead(); err != nil {
 		return err
 	}
-	if receiver.EndsWithConnection() {
+	if r.EndsWithConnection() {
 		return errNoLength
 	}
-	return receiver.ReadBody(limit)
+	return r.ReadBody(limit)
 }
 
 // classify derives the result of an attempt from a response. It reports whether the
--- a/entry/caller/health.go
+++ b/entry/caller/health.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/entry/receiver"
 )
 
 // healthPath is the path under which upstreams serve their health report.
@@ -51,7 +52,11 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	if err := readResponse(response, conn.reader, fasthttp.MethodGet, maxReportSize); err != nil {
+	r := receiver.Receiver{Response: response, Source: conn.reader, Method: fasthttp.MethodGet}
+	if err := r.ReadHead(); err != nil {
+		return err
+	}
+	if err := r.ReadBody(maxReportSize); err != nil {
 		return err
 	}
 	if target == nil {
--- a/entry/receiver/peers_test.go
+++ b/entry/receiver/peers_test.go
@@ -26,6 +26,8 @@
 	name string
 	// fields and body are those of a response that the call accepts.
 	fields, body string
+	// mustStateLength says that the call accepts no body that ends with the connection.
+	mustStateLength bool
 	// limit is the largest body that the call reads.
 	limit core.Bytes
 	// call makes a call to the peer at an address, and fails if it accepts no response.
@@ -37,8 +39,8 @@
 func peers() []peer {
 	deadline := time.Now().Add(time.Hour)
 	return []peer{
-		{"upstream, health check", "Instance: u-1\r\n", "ok", core.Mebibyte, checkHealth},
-		{"upstream of entry", "Endiverun-Attempt: a.1.1\r\n", "ok", core.Mebibyte, func(address string) error {
+		{"upstream, health check", "Instance: u-1\r\n", "ok", false, core.Mebibyte, checkHealth},
+		{"upstream of entry", "Endiverun-Attempt: a.1.1\r\n", "ok", true, core.Mebibyte, func(address string) error {
 			c := &caller.Caller{Dial: caller.DialTCP, MaxResponseBody: core.Mebibyte}
 			defer c.Close()
 			request := core.Request{Method: "GET", Path: "/", Deadline: deadline}
@@ -48,27 +50,27 @@
 			}
 			return nil
 		}},
-		{"upstream of entry, health report", "", "{}", 4 * core.Kibibyte, func(address string) error {
+		{"upstream of entry, health report", "", "{}", false, 4 * core.Kibibyte, func(address string) error {
 			c := &caller.Caller{Dial: caller.DialTCP}
 			_, err := c.FetchHealth(core.Upstream{Address: address}, callTimeout, time.Now())
 			return err
 		}},
-		{"store", "", "{}", 4 * core.Mebibyte, func(address string) error {
+		{"store", "", "{}", false, 4 * core.Mebibyte, func(address string) error {
 			c := caller.NewStoreClient(address, caller.NewDialer(callTimeout))
 			var object map[string]any
 			_, err := c.Do(caller.StoreCall{Operation: "get", Method: fasthttp.MethodGet, Path: "/objects/config/main", Wait: callTimeout}, &object)
 			return err
 		}},
-		{"store of entry", "", "{}", 2 * core.Mebibyte, func(address string) error {
+		{"store of entry", "", "{}", false, 2 * core.Mebibyte, func(address string) error {
 			_, err := newStorer(address).Get("ticket", "7")
 			return err
 		}},
-		{"store of entry, watch", "", "{}", 4 * core.Mebibyte, func(address string) error {
+		{"store of entry, watch", "", "{}", false, 4 * core.Mebibyte, func(address string) error {
 			s := newStorer(address)
 			defer s.Close()
 			return s.Watch("ticket", 1, callTimeout, func(storer.Event) bool { return true })
 		}},
-		{"another host", "", "\xa0", 16 * core.Mebibyte, func(address string) error {
+		{"another host", "", "\xa0", false, 16 * core.Mebibyte, func(address string) error {
 			var f heartbeater.Fetcher
 			_, err := f.Fetch(address, core.Revisions{}, callTimeout)
 			return err
@@ -133,6 +135,8 @@
 		name, response string
 		isValid        bool
 	}{
+		{"without a length", "HTTP/1.1 200 OK\r\nFIELDS\r\nBODY", true},
+		{"in chunks", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n0LENGTH;a\r\nBODY\r\n0\r\nX:\r\n\r\n", true},
 		{"valid", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY", true},
 		{"empty reason", "HTTP/1.1 200 \r\nX:\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY", true},
 		{"status 000", "HTTP/1.1 000 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY", false},
@@ -152,7 +156,8 @@
 				length := string(rune('0' + len(p.body)))
 				response := strings.NewReplacer("FIELDS", p.fields, "LENGTH", length, "BODY", p.body).Replace(tt.response)
 				err := p.call(serve(t, respondWith(func(conn net.Conn) { _, _ = io.WriteString(conn, response) })))
-				if isValid := err == nil; isValid != tt.isValid {
+				wantValid := tt.isValid && (tt.name != "without a length" || !p.mustStateLength)
+				if isValid := err == nil; isValid != wantValid {
 					t.Errorf("%q: error %v", response, err)
 				}
 			})
