Count the opening of a connection in the timeout of calls to the store

With the strict transport the time to open a connection came on top of the timeout of a call, since the deadline was set once it was open; the library sets it before. TestTransportTimeout failed (7.5 s in place of 5 s). The timeouts of the client of package storer had no effect any more and are gone: each call states its own.

--- a/entry/receiver/transport.go
+++ b/entry/receiver/transport.go
@@ -27,6 +27,10 @@
 // retried if it is idempotent. The error is fasthttp.ErrTimeout after the timeout.
 func (t *Transport) RoundTrip(client *fasthttp.HostClient, request *fasthttp.Request, response *fasthttp.Response) (bool, error) {
 	timeout := request.GetTimeOut()
+	var deadline time.Time
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
 	pooled, err := client.AcquireConn(timeout, request.ConnectionClose())
 	if err != nil {
 		return false, err
@@ -36,7 +40,7 @@
 		keep:  func() { client.ReleaseConn(pooled) },
 		close: func() { client.CloseConn(pooled) },
 	}
-	err = e.run(request, response, timeout)
+	err = e.run(request, response, deadline)
 	if IsMalformed(err) && t.OnMalformed != nil {
 		t.OnMalformed(client.Addr, err)
 	}
@@ -60,11 +64,7 @@
 }
 
 // run sends the request and reads the response, or its head if the body is to be streamed.
-func (e *exchange) run(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
-	var deadline time.Time
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
-	}
+func (e *exchange) run(request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
 	if err := e.conn.SetDeadline(deadline); err != nil {
 		e.close()
 		return err
--- a/entry/receiver/transport_test.go
+++ b/entry/receiver/transport_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -74,6 +76,26 @@
 	}
 }
 
+// TestTransportTimeout guards against a call that takes longer than its timeout because the
+// connection took a part of it to open.
+func TestTransportTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := newClient()
+		client.Dial = func(string) (net.Conn, error) {
+			time.Sleep(callTimeout / 2)
+			conn, peer := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, peer) }()
+			return conn, nil
+		}
+		start := time.Now()
+		_, err := post(client, "127.0.0.1:1", nil)
+		is.Equal(err, fasthttp.ErrTimeout)
+		is.Equal(time.Since(start), callTimeout)
+		time.Sleep(time.Minute) // until the goroutines of the client have ended
+	})
+}
+
 // TestTransportReset guards against taking the first part of a body without a length for a whole
 // one if the peer resets the connection while it is sent a long request. The client may notice
 // the reset in the middle of its request alone.
--- a/entry/storer/storer.go
+++ b/entry/storer/storer.go
@@ -83,8 +83,6 @@
 	s.client = fasthttp.Client{
 		Transport:           transport,
 		Dial:                s.Dial,
-		ReadTimeout:         s.Timeout,
-		WriteTimeout:        s.Timeout,
 		MaxResponseBodySize: int(2 * maxObjectSize),
 		// The caller decides whether to retry a write, after it has read the object.
 		MaxIdemponentCallAttempts: 1,
