Clear what an earlier response left before the next one is read

What callers would have seen: after a late 204 or 304 to another request on a kept connection, the right response arrived without its body, cut.

The reader noted on the response that it had no body, and nothing took the note back when the next response was read into the same place.

Change: the reader sets the note for each response, and drops the body of the earlier one.

--- a/entry/forwarder/responsefuzz_test.go
+++ b/entry/forwarder/responsefuzz_test.go
@@ -285,6 +285,8 @@
 		"HTTP/1.1 200 OK\r\nRequest-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: a\r\n\r\n",
 		"HTTP/1.1 503 Busy\r\nRequest-Id: id\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nRequest-Id: id\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 204 \r\nRequest-Id: other\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: id\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 304 \r\nRequest-Id: id\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nRequest-Id: id\r\nContent-Encoding:\r\nContent-Type: a\r\nSet-Cookie: b=c\r\nDate: d\r\n\r\n",
 	} {
 		f.Add([]byte(response))
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -125,6 +125,9 @@
 	if err := h.fill(&r.Response.Header, r.Source); err != nil {
 		return core.ErrMalformed.Wrap(err, "head")
 	}
+	// The response may hold the body of an earlier one, or the note that that had none.
+	r.Response.ResetBody()
+	r.Response.SkipBody = framing == withoutBody
 	r.body = body{source: r.Source, framing: framing, remaining: h.length}
 	return nil
 }
@@ -149,7 +152,6 @@
 // defaultMaxBody. A longer one yields ErrBodyTooLarge.
 func (r *Receiver) ReadBody(limit core.Bytes) error {
 	if r.body.framing == withoutBody {
-		r.Response.SkipBody = true
 		return nil
 	}
 	if limit <= 0 {
