Organisations, API keys and their withdrawal

Cause: no code of the hosts on the users' platform knew organisations. Upstreams got the client's key and whatever it sent as its organisation, requests with unknown keys ran, home regions of organisations were ignored, and a withdrawn key stayed valid on hosts out of touch.

Now core/authenticator decides by digests of the keys, before the body and again before each attempt, and only while the policy is known to be recent enough, by a clock that includes the time for which a machine was suspended.

--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -57,6 +57,11 @@
 	Routes   []core.Route         `cbor:"2,keyasint"`
 	Services []core.ServicePolicy `cbor:"3,keyasint"`
 	Limits   core.ClientLimits    `cbor:"4,keyasint"`
+	// Organisations are those whose requests are told apart by their API keys; empty if
+	// requests need no key.
+	Organisations []core.OrganisationPolicy `cbor:"5,keyasint,omitempty"`
+	// HasUnreadableOrganisations says that further organisations could not be read.
+	HasUnreadableOrganisations bool `cbor:"6,keyasint,omitempty"`
 	// Findings are the problems of invalid entries. Only the host that read the policy
 	// from the store knows them.
 	Findings core.Findings `cbor:"-"`
--- a/core/route.go
+++ b/core/route.go
@@ -84,6 +84,9 @@
 	// HomeRegions are the only regions in which the requests may run; empty means all.
 	// They are unrelated to the home of an idempotency key.
 	HomeRegions []RegionName `cbor:"Homes"`
+	// IsAnonymous says that requests need no API key, and belong to no organisation. It counts
+	// only in a policy that has organisations.
+	IsAnonymous bool `cbor:"IsAnonymous,omitempty"`
 	// UnservableReason says why requests of the route cannot be served; empty where they
 	// can. A route whose UnservableReason is not empty still matches its requests, so that
 	// none of them goes to the service of a shorter prefix.
@@ -96,6 +99,11 @@
 	return r.Hostname != "" && strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/")
 }
 
+// HasService reports whether the route sends requests to the service.
+func (r *Route) HasService(name ServiceName) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(s WeightedService) bool { return s.Service == name && s.Weight > 0 })
+}
+
 // Validate returns Findings with everything that prevents requests of the route from
 // being served.
 func (r *Route) Validate() error {
@@ -162,6 +170,12 @@
 	Version  uint64
 	Services map[ServiceName]ServicePolicy
 	Limits   ClientLimits
+	// HasUnreadableOrganisations says that the policy has organisations that could not be read,
+	// so that an unknown key may be theirs.
+	HasUnreadableOrganisations bool
+	// organisations are those of the policy by the digests of their keys; nil if the policy has
+	// none, so that requests need no key.
+	organisations map[KeyDigest]*OrganisationPolicy
 	// byHost holds the routes of each host name, the longest prefix first.
 	byHost map[string][]*Route
 }
@@ -187,6 +201,28 @@
 	return p
 }
 
+// WithOrganisations returns the policy with the given organisations. Of two that hold the same
+// key the first counts; NewOrganisationIndex reports it.
+func (p *RoutingPolicy) WithOrganisations(organisations []OrganisationPolicy, hasUnreadable bool) *RoutingPolicy {
+	next := *p
+	next.HasUnreadableOrganisations = hasUnreadable
+	if len(organisations) > 0 || hasUnreadable {
+		next.organisations, _ = NewOrganisationIndex(organisations)
+	}
+	return &next
+}
+
+// HasOrganisations reports whether requests need an API key, except on anonymous routes.
+func (p *RoutingPolicy) HasOrganisations() bool {
+	return p.organisations != nil
+}
+
+// OrganisationOf returns the organisation that holds the key with the digest.
+func (p *RoutingPolicy) OrganisationOf(key KeyDigest) (*OrganisationPolicy, bool) {
+	organisation, ok := p.organisations[key]
+	return organisation, ok
+}
+
 // Match returns the route of the host name with the longest prefix that the path begins with.
 func (p *RoutingPolicy) Match(host, path string) (*Route, bool) {
 	for _, r := range p.byHost[host] {
--- a/core/unit.go
+++ b/core/unit.go
@@ -68,3 +68,18 @@
 	}
 	return float64(w)
 }
+
+// Uptime is a time of one machine: the time since its start, which unlike the monotonic clock
+// includes the time for which the machine was suspended. It is never compared with that of
+// another machine.
+type Uptime time.Duration
+
+// Add returns the time after a duration.
+func (u Uptime) Add(d time.Duration) Uptime {
+	return u + Uptime(d)
+}
+
+// Sub returns the duration since an earlier time.
+func (u Uptime) Sub(earlier Uptime) time.Duration {
+	return time.Duration(u - earlier)
+}
--- a/entry/controller/bounds.go
+++ b/entry/controller/bounds.go
@@ -54,6 +54,28 @@
 	// be sent to it, by Resolve or by a list of hosts that they cache. 0 means that Resolve
 	// leaves a host out only because of the number of heartbeats that it missed.
 	DeadHostTimeout time.Duration
+	// KeyWithdrawalTime is the time after which no request may run with a key that was withdrawn,
+	// on any host; 0 means that a host may go by an old policy for as long as it has no newer one.
+	KeyWithdrawalTime time.Duration
+}
+
+// maxKeyAge returns how old the last confirmation of the policy may be on a host that accepts
+// keys. The rest of KeyWithdrawalTime allows for clocks that run at different rates.
+func (b *Bounds) maxKeyAge() time.Duration {
+	const fraction = 0.9
+	return time.Duration(fraction * float64(b.KeyWithdrawalTime))
+}
+
+// PolicyWatchTimeout returns how long a watch of the policy may wait for changes. Where keys
+// must be withdrawn in time, the policy is confirmed often enough that one confirmation may be
+// lost.
+func (b *Bounds) PolicyWatchTimeout(history time.Duration) time.Duration {
+	const fraction = 0.25
+	longest := b.WatchTimeout(history)
+	if b.KeyWithdrawalTime <= 0 {
+		return longest
+	}
+	return min(longest, time.Duration(fraction*float64(b.maxKeyAge())))
 }
 
 // heartbeatTimeout returns the time without a heartbeat after which a host is no longer
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -32,6 +32,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/authenticator"
 	"github.com/endiverun/endiverun/core/pacer"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/replicator"
@@ -112,6 +113,7 @@
 	placer        *placer.Placer
 	pacer         *pacer.Pacer
 	retryBudget   *retrier.Budget
+	authenticator *authenticator.Authenticator
 	roster        *roster.Roster
 	exchanger     *exchanger.Exchanger
 	forwarder     *forwarder.Forwarder
@@ -133,10 +135,12 @@
 	isDraining  atomic.Bool
 	isReady     atomic.Bool
 	// readMode says what the host reads from the store; it holds a ReadMode.
-	readMode      atomic.Int32
-	storeStatus   storeStatus
-	coldUpstreams coldUpstreams
-	healthChecker healthChecker
+	readMode    atomic.Int32
+	storeStatus storeStatus
+	// confirmationAsked is when confirmWithReader, which alone uses it, called last.
+	confirmationAsked core.Uptime
+	coldUpstreams     coldUpstreams
+	healthChecker     healthChecker
 	// urgentHeartbeat requests a heartbeat to many hosts at once.
 	urgentHeartbeat chan struct{}
 	// zoneHeartbeat requests a heartbeat to the other hosts in the host's own zone.
@@ -171,6 +175,7 @@
 		Ratio:     c.Bounds.RetryBudgetRatio,
 		Allowance: c.Bounds.RetryBudgetAllowance,
 	}
+	c.authenticator = &authenticator.Authenticator{MaxAge: c.Bounds.maxKeyAge()}
 	c.urgentHeartbeat = make(chan struct{}, 1)
 	c.zoneHeartbeat = make(chan struct{}, 1)
 	c.roster = &roster.Roster{
@@ -203,6 +208,7 @@
 		Placer:          c.placer,
 		RetryBudget:     c.retryBudget,
 		Exchanger:       c.exchanger,
+		Authenticator:   c.authenticator,
 		MaxBodyBytes:    c.MemoryLimit / requestBodiesDivisor,
 		IsReady:         c.isReady.Load,
 		IsPolicyCurrent: func() bool { return c.storeStatus.isSnapshotCurrent(time.Now()) },
@@ -262,6 +268,7 @@
 	c.pacer.SetLimit(bounds.WarmUpRateMultiplier, bounds.WarmUpBurst)
 	c.gracePeriod.Store(int64(bounds.GracePeriod))
 	c.placer.SetMaxRegionShift(bounds.MaxRegionShift)
+	c.authenticator.SetMaxAge(bounds.maxKeyAge())
 	c.roster.SetMaxHeartbeatTimeout(bounds.heartbeatTimeout())
 	c.roster.SetMaxPropagationDelay(bounds.MaxPropagationDelay)
 }
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -62,6 +62,7 @@
 		}
 		c.setReadMode(ReadNone, reader.Host.Name)
 		c.syncWithReader(reader, now)
+		c.confirmWithReader(reader)
 	})
 }
 
--- a/entry/controller/metrics.go
+++ b/entry/controller/metrics.go
@@ -106,7 +106,7 @@
 	c.countRequest(e)
 	if e.Status >= http.StatusInternalServerError {
 		addLimit(addMove(c.Log.Event(logger.UpstreamFailed), e), e).
-			Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
+			Str("request", e.RequestID).Str("route", string(e.Route)).Str("organisation", string(e.Organisation)).Str("service", string(e.Service)).
 			Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 			Dur("took", e.Duration).Send()
 	}
@@ -125,7 +125,7 @@
 func (c *Controller) recordFailure(e forwarder.Event) {
 	c.countRequest(e)
 	addLimit(addMove(c.Log.Event(logger.RequestRefused), e), e).
-		Str("request", e.RequestID).Str("route", string(e.Route)).Str("service", string(e.Service)).
+		Str("request", e.RequestID).Str("route", string(e.Route)).Str("organisation", string(e.Organisation)).Str("service", string(e.Service)).
 		Str("upstream", string(e.Upstream)).Uint64("policy", e.PolicyVersion).Int("status", e.Status).
 		Str("cause", e.Cause).Str("detail", e.Detail).Dur("took", e.Duration).Send()
 }
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -55,7 +55,8 @@
 // use them.
 func (c *Controller) apply(now time.Time, current, changed replicator.Snapshot) {
 	if p := changed.Policy; p != nil {
-		policy := core.NewRoutingPolicy(p.Version, p.Routes, p.Services, p.Limits)
+		policy := core.NewRoutingPolicy(p.Version, p.Routes, p.Services, p.Limits).
+			WithOrganisations(p.Organisations, p.HasUnreadableOrganisations)
 		c.policy.Store(policy)
 		c.placer.SetPolicy(policy)
 		c.forwarder.SetPolicy(policy)
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -62,6 +62,10 @@
 	Leaving string
 	// Instance, in responses to health checks, names the upstream that responds.
 	Instance string
+	// Organisation, in requests, names the organisation of the client.
+	Organisation string
+	// Credentials is the field of the client's request that holds its API key.
+	Credentials string
 }
 
 // Limits of exchanges.
@@ -100,6 +104,11 @@
 	// Traceparent is the value of the traceparent field sent to the upstream; empty keeps the
 	// client's field, unlike in package caller, where empty sends none.
 	Traceparent string
+	// HasOrganisations says that clients have API keys: the client's credentials, and what it
+	// sent in the field of the organisation, are not forwarded.
+	HasOrganisations bool
+	// Organisation is sent to the upstream; empty if the request belongs to none.
+	Organisation core.Organisation
 }
 
 // Result is the result of an attempt.
--- a/entry/exchanger/send.go
+++ b/entry/exchanger/send.go
@@ -26,6 +26,13 @@
 	header.Set(e.HeaderNames.Target, string(attempt.Upstream.Name))
 	remaining := max(time.Until(attempt.UpstreamDeadline).Milliseconds(), 1)
 	header.Set(e.HeaderNames.Deadline, strconv.FormatInt(remaining, 10))
+	if attempt.HasOrganisations {
+		header.Del(e.HeaderNames.Credentials)
+		header.Del(e.HeaderNames.Organisation)
+	}
+	if attempt.Organisation != "" {
+		header.Set(e.HeaderNames.Organisation, string(attempt.Organisation))
+	}
 	if attempt.Traceparent != "" {
 		header.Set(caller.HeaderTraceparent, attempt.Traceparent)
 	}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/authenticator"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/retrier"
 	"github.com/endiverun/endiverun/entry/acceptor"
@@ -61,6 +62,8 @@
 	// AffinityKey is the header with the affinity key of a request. On routes with
 	// affinity, requests with the same key should go to the same upstream.
 	AffinityKey string
+	// Credentials is the header with the API key of the client.
+	Credentials string
 }
 
 // Event describes the result of a request or of one attempt, for logs and metrics.
@@ -69,6 +72,8 @@
 	Route     core.RouteName
 	Service   core.ServiceName
 	Upstream  core.UpstreamName
+	// Organisation is empty if the request needs no key.
+	Organisation core.Organisation
 	// PolicyVersion is the version of the routing policy that was applied.
 	PolicyVersion uint64
 	// Cause is the reason of the result, one of those listed in docs/EVENTS.md. For a
@@ -109,6 +114,8 @@
 	Placer      *placer.Placer
 	RetryBudget *retrier.Budget
 	Exchanger   *exchanger.Exchanger
+	// Authenticator decides to which organisations requests belong.
+	Authenticator *authenticator.Authenticator
 	// MaxBodyBytes limits the total bytes of all request bodies in memory; 0 means
 	// no limit. Small bodies may exceed it by a sixteenth, so that they pass beside large
 	// ones. A request whose body exceeds the total is rejected with 503 before the body is
@@ -268,23 +275,21 @@
 		f.respondUnavailable(ctx, Event{RequestID: f.requestID(ctx)}, "no-policy", notReadyRetryAfter)
 		return
 	}
-	route, ok := policy.Match(requestHostname(ctx), requestPath(ctx))
-	if !ok {
-		f.rejectUnmatched(ctx, policy)
-		return
-	}
-	if route.UnservableReason != "" {
-		event := Event{RequestID: f.requestID(ctx), Route: route.Name, PolicyVersion: policy.Version, Detail: route.UnservableReason}
-		f.respondUnavailable(ctx, event, "route-unreadable", invalidRouteRetryAfter)
+	request.asked = f.readAsked(ctx)
+	matched, refused := f.match(policy, request.asked)
+	event := matched.eventOf(f.requestID(ctx))
+	if refused != nil {
+		f.refuse(ctx, event, *refused)
 		return
 	}
 	request.claim = f.bodies.NewClaim()
 	body, err := f.readBody(ctx, policy.Limits.BodyBytes, &request.claim, f.clientDeadline(ctx, now))
 	if err != nil {
-		f.rejectBody(ctx, Event{RequestID: f.requestID(ctx), Route: route.Name, PolicyVersion: policy.Version, Detail: err.Error()}, err)
+		event.Detail = err.Error()
+		f.rejectBody(ctx, event, err)
 		return
 	}
-	f.serve(f.newRequestState(ctx, policy, route, body, request))
+	f.serve(f.newRequestState(ctx, matched, body, request))
 }
 
 const (
@@ -296,21 +301,6 @@
 	invalidRouteRetryAfter = 5 * time.Second
 )
 
-// rejectUnmatched responds to a request that matches no route, with 404. If the
-// policy may be outdated it responds with 503 instead, since a newer version
-// may have a matching route.
-func (f *Forwarder) rejectUnmatched(ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy) {
-	event := Event{RequestID: f.requestID(ctx), PolicyVersion: policy.Version}
-	if f.IsPolicyCurrent != nil && !f.IsPolicyCurrent() {
-		f.respondUnavailable(ctx, event, "policy-unconfirmed", notReadyRetryAfter)
-		return
-	}
-	event.Cause = "no-route"
-	event.Status = fasthttp.StatusNotFound
-	ctx.SetStatusCode(fasthttp.StatusNotFound)
-	notify(f.OnFailure, event)
-}
-
 // respondUnavailable responds with 503 and a Retry-After of about the given time to a request
 // that was not executed.
 func (f *Forwarder) respondUnavailable(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/authenticator"
 	"github.com/endiverun/endiverun/core/pacer"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/retrier"
@@ -45,8 +46,9 @@
 	// disconnects counts connections that the host closed before the response
 	// was due.
 	disconnects atomic.Int32
-	// body is the body of the last request.
+	// body is the body of the last request, and head its header.
 	body atomic.Pointer[[]byte]
+	head atomic.Pointer[string]
 }
 
 func (u *fakeUpstream) start(t *testing.T, name string) core.Upstream {
@@ -80,6 +82,8 @@
 		}
 		body := bytes.Clone(request.Body())
 		u.body.Store(&body)
+		head := request.Header.String()
+		u.head.Store(&head)
 		u.requests.Add(1)
 		if u.awaitDisconnect(conn) {
 			return
@@ -155,13 +159,16 @@
 	retries.SetHosts(1)
 	h := &testHost{done: make(chan error, 1), placer: place, pacer: pacing}
 	h.Forwarder = &forwarder.Forwarder{
-		HeaderNames: forwarder.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", AffinityKey: "Key"},
-		Placer:      place,
-		RetryBudget: retries,
+		HeaderNames: forwarder.HeaderNames{
+			RequestID: "Request-Id", Deadline: "Deadline-Ms", AffinityKey: "Key", Credentials: "Authorization",
+		},
+		Authenticator: &authenticator.Authenticator{},
+		Placer:        place,
+		RetryBudget:   retries,
 		Exchanger: &exchanger.Exchanger{
 			HeaderNames: exchanger.HeaderNames{
 				RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target", Load: "Load", NotRun: "Not-Run", RemainingWarmUp: "Cold",
-				RateLimit: "Rate-Limit", Leaving: "Leaving",
+				RateLimit: "Rate-Limit", Leaving: "Leaving", Organisation: "Organisation", Credentials: "Authorization",
 			},
 			OnLeaving: func(u core.Upstream) {
 				place.RecordAvailability(u, placer.Availability{IsLeaving: true}, time.Now())
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -36,7 +36,7 @@
 type requestState struct {
 	forwarder  *Forwarder
 	requestCtx *fasthttp.RequestCtx
-	route      *core.Route
+	match      match
 	service    core.ServiceName
 	body       exchanger.Body
 	event      Event
@@ -68,6 +68,8 @@
 	room *placer.Room
 	// isLeftToOthers says that other hosts hold all connections that the upstreams take.
 	isLeftToOthers bool
+	// refused is why the policy in force does not allow another attempt; nil if it does.
+	refused *refusal
 	// hasResponse says that the client gets an upstream's response.
 	hasResponse bool
 }
@@ -89,11 +91,11 @@
 
 // newRequestState returns the state of a request whose body has been read.
 func (f *Forwarder) newRequestState(
-	ctx *fasthttp.RequestCtx, policy *core.RoutingPolicy, route *core.Route, body exchanger.Body, pending *pendingRequest,
+	ctx *fasthttp.RequestCtx, matched match, body exchanger.Body, pending *pendingRequest,
 ) *requestState {
-	now := pending.describe().Started
+	now, route := pending.describe().Started, matched.route
 	r := &requestState{
-		forwarder: f, requestCtx: ctx, route: route, service: f.splitter.next(route), body: body, start: now, pending: pending,
+		forwarder: f, requestCtx: ctx, match: matched, service: f.splitter.next(route), body: body, start: now, pending: pending,
 	}
 	r.holdDeadline = f.holdDeadline(ctx, now)
 	clientDeadline := f.clientDeadline(ctx, now)
@@ -103,9 +105,10 @@
 		r.deadline = earlier(clientDeadline, routeDeadline)
 		r.responseDeadline = earlier(r.responseDeadline, routeDeadline.Add(lateResponseGrace))
 	}
-	r.event = Event{RequestID: f.requestID(ctx), Route: route.Name, Service: r.service, PolicyVersion: policy.Version}
+	r.event = matched.eventOf(f.requestID(ctx))
+	r.event.Service = r.service
 	pending.update(func(description *Pending) {
-		description.Route, description.Service, description.PolicyVersion = route.Name, r.service, policy.Version
+		description.Route, description.Service, description.PolicyVersion = route.Name, r.service, matched.policy.Version
 		description.Received = time.Now()
 	})
 	r.affinityKey = string(ctx.Request.Header.Peek(f.HeaderNames.AffinityKey))
@@ -156,14 +159,10 @@
 	if !now.Before(r.deadline) || r.isRefusedByStop(now) {
 		return placer.Choice{}, false
 	}
-	query := placer.Query{
-		Service:     r.service,
-		Key:         r.affinityKey,
-		HasAffinity: r.route.HasAffinity,
-		HomeRegions: r.route.HomeRegions,
-		Exclude:     r.tried,
+	choice, ok := r.chooseAsAllowed(ctx)
+	if r.refused != nil {
+		return choice, false
 	}
-	choice, ok := r.awaitUpstream(ctx, query)
 	now = time.Now()
 	r.room, r.isLeftToOthers = choice.Room, choice.IsLeftToOthers
 	if !ok {
@@ -190,6 +189,52 @@
 	return choice, true
 }
 
+// chooseAsAllowed chooses an upstream among those that the policy in force allows. It chooses
+// again if the policy changed while the request was held.
+func (r *requestState) chooseAsAllowed(ctx context.Context) (placer.Choice, bool) {
+	for {
+		if !r.matchAgain() {
+			return placer.Choice{}, false
+		}
+		choice, ok := r.awaitUpstream(ctx, placer.Query{
+			Service:     r.service,
+			Key:         r.affinityKey,
+			HasAffinity: r.match.route.HasAffinity,
+			HomeRegions: r.match.homeRegions,
+			Exclude:     r.tried,
+		})
+		if !ok || r.match.policy == r.forwarder.policy.Load() {
+			return choice, ok
+		}
+		r.forwarder.Placer.Release(choice)
+	}
+}
+
+// matchAgain matches the request by the policy in force. It returns false, and sets refused, if
+// that does not allow the request. The request keeps its service if the route still has it, and
+// its deadlines.
+func (r *requestState) matchAgain() bool {
+	f := r.forwarder
+	matched, refused := f.match(f.policy.Load(), r.pending.asked)
+	if r.refused = refused; refused != nil {
+		return false
+	}
+	if matched.policy == r.match.policy {
+		return true
+	}
+	r.match = matched
+	if !matched.route.HasService(r.service) {
+		r.service = f.splitter.next(matched.route)
+	}
+	event := matched.eventOf(r.event.RequestID)
+	r.event.Route, r.event.Organisation, r.event.PolicyVersion = event.Route, event.Organisation, event.PolicyVersion
+	r.event.Service = r.service
+	r.pending.update(func(description *Pending) {
+		description.Route, description.Service, description.PolicyVersion = event.Route, r.service, event.PolicyVersion
+	})
+	return true
+}
+
 // isQueueTooLong reports whether the request should not queue for the chosen
 // upstream, because its deadline would pass first, or because it would miss the
 // route's latency objective and delay requests that can still meet it. The second
@@ -200,7 +245,7 @@
 	if now.Add(delay).After(r.deadline) {
 		return true
 	}
-	maxDelay := time.Duration(maxQueueFactor * float64(r.route.TargetLatency))
+	maxDelay := time.Duration(maxQueueFactor * float64(r.match.route.TargetLatency))
 	return maxDelay > 0 && len(r.tried) == 0 && delay > maxDelay
 }
 
@@ -222,6 +267,8 @@
 		BodyDeadline:     r.clientDeadline,
 		RoundTrip:        choice.RoundTrip,
 		Traceparent:      span.Traceparent(),
+		Organisation:     r.event.Organisation,
+		HasOrganisations: r.match.policy.HasOrganisations(),
 	})
 	span.End(result.FailureReason)
 	r.notifyAttempt(choice, result.Report)
@@ -279,7 +326,7 @@
 
 // mayExecuteAgain reports whether one more upstream may execute the request.
 func (r *requestState) mayExecuteAgain() bool {
-	return r.route.Class.IsRepeatable() && r.executions < max(r.route.MaxAttempts, 1)
+	return r.match.route.Class.IsRepeatable() && r.executions < max(r.match.route.MaxAttempts, 1)
 }
 
 // hasRetryBudget reports whether the retry budget allows another attempt after an
@@ -351,6 +398,10 @@
 		notify(r.forwarder.OnFailure, r.event)
 		return
 	}
+	if r.refused != nil {
+		r.forwarder.refuse(r.requestCtx, r.event, *r.refused)
+		return
+	}
 	if r.isRefusedByStop(time.Now()) {
 		r.event.Detail = "the host stops and could not await the response"
 		r.forwarder.respondUnavailable(r.requestCtx, r.event, "host-stopping", minRetryAfter)
--- a/entry/loader/bounds.go
+++ b/entry/loader/bounds.go
@@ -30,3 +30,18 @@
 func (b Bounds) Duration(name string, fallback time.Duration, findings *core.Findings) time.Duration {
 	return time.Duration(b.Number(name, fallback.Seconds(), findings) * float64(time.Second))
 }
+
+// Flag returns the named value, or false if it is missing. If the value is neither true nor
+// false, Flag adds a finding and returns true, since a flag tightens a bound.
+func (b Bounds) Flag(name string, findings *core.Findings) bool {
+	given, ok := b[name]
+	if !ok {
+		return false
+	}
+	value, ok := given.(bool)
+	if !ok {
+		findings.Addf(core.JSONPointer("bounds", name), "%v is neither true nor false", given)
+		return true
+	}
+	return value
+}
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -106,6 +106,11 @@
 	// response, and OnFailure after each failed one.
 	OnSuccess func(era core.Era)
 	OnFailure func(err error)
+	// OnConfirmed is called after the results of a call were passed on, with all objects and a
+	// time as of which they are known to be the newest; nil ignores it. Uptime reads the clock
+	// of that time, and must be set with it.
+	OnConfirmed func(list List[T], asOf core.Uptime)
+	Uptime      func() core.Uptime
 
 	objects  map[string]T
 	revision uint64
@@ -175,14 +180,15 @@
 	if w.objects == nil || w.isEraOver() {
 		return w.listAll()
 	}
-	sent := time.Now()
-	changes, err := w.watch(renewed)
+	sent, sentAt, wait := time.Now(), w.uptime(), w.nextWait()
+	changes, err := w.watch(renewed, wait)
 	if err != nil {
 		return errorx.Decorate(err, "watch after revision %d, pending for %v", w.revision, time.Since(sent).Round(time.Millisecond))
 	}
 	if changes.Era != w.era {
 		return core.ErrHistoryGone.New("watch after revision %d of era %d, response of era %d", w.revision, w.era, changes.Era)
 	}
+	defer func() { w.confirm(w.answeredAsOf(sentAt, wait, len(changes.List) > 0)) }()
 	w.revision = changes.Revision
 	for _, c := range changes.List {
 		if c.IsRemoved {
@@ -203,18 +209,52 @@
 	return nil
 }
 
+// uptime returns the time of Uptime, or 0 if nothing asks for it.
+func (w *Watcher[T]) uptime() core.Uptime {
+	if w.Uptime == nil {
+		return 0
+	}
+	return w.Uptime()
+}
+
+// maxNoticeDelay is how long after a change the store may still answer a watch as if there were
+// none: one that drops its history stops to notify watches first.
+const maxNoticeDelay = time.Second
+
+// answeredAsOf returns a time as of which the response to a watch that was sent at the given
+// time held. The store answers a watch without changes at the end of its wait, and one with
+// changes at an unknown time after it was sent.
+func (w *Watcher[T]) answeredAsOf(sentAt core.Uptime, wait time.Duration, hasChanges bool) core.Uptime {
+	if hasChanges || w.uptime().Sub(sentAt) < wait {
+		wait = 0
+	}
+	return sentAt.Add(wait - maxNoticeDelay)
+}
+
+// confirm calls OnConfirmed.
+func (w *Watcher[T]) confirm(asOf core.Uptime) {
+	if w.OnConfirmed != nil {
+		w.OnConfirmed(List[T]{Objects: w.objects, Revision: w.revision, Era: w.era}, asOf)
+	}
+}
+
 // isEraOver reports whether the objects are of an earlier era than the latest.
 func (w *Watcher[T]) isEraOver() bool {
 	return w.Era != nil && w.Era() != w.era
 }
 
-// watch makes one call of Watch. It returns an error of type errAbandoned if the channel is
-// closed before the response arrives; that response is ignored.
-func (w *Watcher[T]) watch(renewed <-chan struct{}) (Changes[T], error) {
-	wait := w.WatchTimeout
+// nextWait returns how long the next watch waits.
+func (w *Watcher[T]) nextWait() time.Duration {
 	if w.isRenewing {
-		wait, w.isRenewing = renewalWait, false
+		w.isRenewing = false
+		return renewalWait
 	}
+	return w.WatchTimeout
+}
+
+// watch makes one call of Watch. It returns an error of type errAbandoned if the channel is
+// closed before the response arrives; that response is ignored.
+func (w *Watcher[T]) watch(renewed <-chan struct{}, wait time.Duration) (Changes[T], error) {
 	var (
 		changes  Changes[T]
 		err      error
@@ -235,6 +275,7 @@
 }
 
 func (w *Watcher[T]) listAll() error {
+	sentAt := w.uptime()
 	list, err := w.List()
 	if err != nil {
 		return err
@@ -243,5 +284,6 @@
 	w.isRenewing = false // The list has confirmed that the store responds.
 	w.OnSnapshot(List[T]{Objects: w.objects, Revision: w.revision, Era: w.era})
 	w.delivered = w.revision
+	w.confirm(sentAt)
 	return nil
 }
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -327,3 +327,44 @@
 		is.Equal(watchesAfter, int32(0))
 	})
 }
+
+// TestConfirmedAsOf checks as of when the objects count as the newest after each kind of response:
+// never after the response can have been made, which an answer that comes late does not show.
+func TestConfirmedAsOf(t *testing.T) {
+	const wait = 3 * time.Second
+	tests := []struct {
+		name string
+		// answerAfter is when the store answers a watch, with changes or without.
+		answerAfter time.Duration
+		changes     []Change[int]
+		// want is the time as of which the watch confirms, after it was sent.
+		want time.Duration
+	}{
+		{"nothing changed", wait, nil, wait - maxNoticeDelay},
+		{"the answer comes late", wait + 2*time.Second, nil, wait - maxNoticeDelay},
+		{"the watch is cut short", time.Second, nil, -maxNoticeDelay},
+		{"something changed", 2 * time.Second, []Change[int]{{Name: "a"}}, -maxNoticeDelay},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				started := time.Now()
+				var sent, confirmed []time.Duration
+				ctx, stop := context.WithCancel(t.Context())
+				w := (&failingStore{}).watcher(nil)
+				w.WatchTimeout = wait
+				w.Uptime = func() core.Uptime { return core.Uptime(time.Since(started)) }
+				w.Watch = func(after uint64, _ time.Duration) (Changes[int], error) {
+					sent = append(sent, time.Since(started))
+					time.Sleep(tt.answerAfter)
+					stop()
+					return Changes[int]{Revision: after, List: tt.changes}, nil
+				}
+				w.OnConfirmed = func(_ List[int], asOf core.Uptime) { confirmed = append(confirmed, time.Duration(asOf)) }
+				w.Run(ctx)
+				is.Equal(confirmed, []time.Duration{0, sent[0] + tt.want}) // the list, the watch
+			})
+		})
+	}
+}
