Quotas of organisations over all hosts

Now one grantor in each zone holds the zone's part of a quota in a token bucket, and hosts ask for one credit before each attempt (core/allotter, entry/creditor, docs/design/organisations.md).

--- a/core/route.go
+++ b/core/route.go
@@ -176,6 +176,8 @@
 	// organisations are those of the policy by the digests of their keys; nil if the policy has
 	// none, so that requests need no key.
 	organisations map[KeyDigest]*OrganisationPolicy
+	// quotas holds the quotas of the organisations that have one.
+	quotas map[Organisation]Quota
 	// byHost holds the routes of each host name, the longest prefix first.
 	byHost map[string][]*Route
 }
@@ -209,9 +211,20 @@
 	if len(organisations) > 0 || hasUnreadable {
 		next.organisations, _ = NewOrganisationIndex(organisations)
 	}
+	next.quotas = map[Organisation]Quota{}
+	for _, organisation := range organisations {
+		if organisation.Quota.Rate > 0 {
+			next.quotas[organisation.Name] = organisation.Quota
+		}
+	}
 	return &next
 }
 
+// Quotas returns the quotas of the organisations that have one. The caller must not change them.
+func (p *RoutingPolicy) Quotas() map[Organisation]Quota {
+	return p.quotas
+}
+
 // HasOrganisations reports whether requests need an API key, except on anonymous routes.
 func (p *RoutingPolicy) HasOrganisations() bool {
 	return p.organisations != nil
--- a/entry/controller/bounds.go
+++ b/entry/controller/bounds.go
@@ -57,6 +57,9 @@
 	// KeyWithdrawalTime is the time after which no request may run with a key that was withdrawn,
 	// on any host; 0 means that a host may go by an old policy for as long as it has no newer one.
 	KeyWithdrawalTime time.Duration
+	// QuotaOverage and QuotaSlack are how far the requests of an organisation that run may exceed
+	// its quota: by a fraction, and by a number of requests in a window of several seconds.
+	QuotaOverage, QuotaSlack float64
 }
 
 // maxKeyAge returns how old the last confirmation of the policy may be on a host that accepts
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -26,6 +26,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	"github.com/endiverun/endiverun/core/retrier"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/caller"
+	"github.com/endiverun/endiverun/entry/creditor"
 	"github.com/endiverun/endiverun/entry/exchanger"
 	"github.com/endiverun/endiverun/entry/forwarder"
 	"github.com/endiverun/endiverun/entry/heartbeater"
@@ -91,6 +93,9 @@
 	Seeds []string
 	// SnapshotAddress returns the address at which another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
+	// CreditAddress is the IP address and UDP port at which this host grants credits for requests
+	// of organisations with quotas; all hosts use the same port. Without it no such request runs.
+	CreditAddress string
 	// SetReadMode is called when the host should read other parts of the store than
 	// before; the reads are those whose results the user passes to ApplyUpdate. If nil,
 	// this host always reads all. The mode at the start is ReadAll, and ReadNone if
@@ -114,6 +119,7 @@
 	pacer         *pacer.Pacer
 	retryBudget   *retrier.Budget
 	authenticator *authenticator.Authenticator
+	creditor      *creditor.Creditor
 	roster        *roster.Roster
 	exchanger     *exchanger.Exchanger
 	forwarder     *forwarder.Forwarder
@@ -124,6 +130,10 @@
 	// gracePeriod is the current Bounds.GracePeriod, a time.Duration.
 	gracePeriod atomic.Int64
 	policy      atomic.Pointer[core.RoutingPolicy]
+	// hasOrganisations is closed by noteOrganisations when the first policy with organisations
+	// is in force.
+	hasOrganisations  chan struct{}
+	noteOrganisations sync.Once
 	// sharingHosts is the number of hosts that shared limits are divided over.
 	sharingHosts atomic.Int64
 	subsets      subsets
@@ -176,11 +186,13 @@
 		Allowance: c.Bounds.RetryBudgetAllowance,
 	}
 	c.authenticator = &authenticator.Authenticator{MaxAge: c.Bounds.maxKeyAge()}
+	c.hasOrganisations = make(chan struct{})
 	c.urgentHeartbeat = make(chan struct{}, 1)
 	c.zoneHeartbeat = make(chan struct{}, 1)
 	c.roster = &roster.Roster{
 		Self: c.Self, MaxHeartbeatTimeout: c.Bounds.heartbeatTimeout(), MaxPropagationDelay: c.Bounds.MaxPropagationDelay,
 	}
+	c.creditor = c.newCreditor()
 	c.exchanger = &exchanger.Exchanger{
 		HeaderNames:      c.UpstreamHeaderNames,
 		Dial:             dial,
@@ -209,6 +221,7 @@
 		RetryBudget:     c.retryBudget,
 		Exchanger:       c.exchanger,
 		Authenticator:   c.authenticator,
+		Creditor:        c.creditor,
 		MaxBodyBytes:    c.MemoryLimit / requestBodiesDivisor,
 		IsReady:         c.isReady.Load,
 		IsPolicyCurrent: func() bool { return c.storeStatus.isSnapshotCurrent(time.Now()) },
@@ -232,6 +245,7 @@
 		waiter.WaitTimeout(backgroundExitTimeout, group.Wait)
 	}()
 	group.Go(func() { c.exchangeHeartbeats(background) })
+	group.Go(func() { c.exchangeCredits(background) })
 	group.Go(func() { c.runPeriodicTasks(background) })
 	group.Go(func() { c.learnFromPeers(background) })
 	group.Go(func() { c.preconnect(background) })
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -60,6 +60,9 @@
 		c.policy.Store(policy)
 		c.placer.SetPolicy(policy)
 		c.forwarder.SetPolicy(policy)
+		if policy.HasOrganisations() {
+			c.noteOrganisations.Do(func() { close(c.hasOrganisations) })
+		}
 		c.Log.Event(logger.PolicyApplied).Uint64("policy", p.Version).Int("routes", len(p.Routes)).Send()
 		for _, f := range p.Findings {
 			c.Log.Event(logger.PolicyEntryUnreadable).Uint64("policy", p.Version).Str("entry", f.Pointer).Str("error", f.Message).Send()
@@ -128,6 +131,7 @@
 		c.replicator.Settle(now)
 		c.exchanger.CloseExpiredConnections(now)
 		c.divideSharedLimits(now)
+		c.updateGrantors(now)
 		c.placer.ForgetOldLimits(now)
 		c.reportEndedPauses(now)
 		c.fetchFromPeers(now)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"github.com/endiverun/endiverun/core/retrier"
 	"github.com/endiverun/endiverun/entry/acceptor"
 	"github.com/endiverun/endiverun/entry/budgeter"
+	"github.com/endiverun/endiverun/entry/creditor"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
 	"github.com/endiverun/endiverun/entry/tracer"
@@ -116,6 +117,8 @@
 	Exchanger   *exchanger.Exchanger
 	// Authenticator decides to which organisations requests belong.
 	Authenticator *authenticator.Authenticator
+	// Creditor obtains credits for requests of organisations with quotas; nil refuses them.
+	Creditor *creditor.Creditor
 	// MaxBodyBytes limits the total bytes of all request bodies in memory; 0 means
 	// no limit. Small bodies may exceed it by a sixteenth, so that they pass beside large
 	// ones. A request whose body exceeds the total is rejected with 503 before the body is
@@ -277,6 +280,9 @@
 	}
 	request.asked = f.readAsked(ctx)
 	matched, refused := f.match(policy, request.asked)
+	if refused == nil {
+		refused = f.refusedByQuota(matched, now)
+	}
 	event := matched.eventOf(f.requestID(ctx))
 	if refused != nil {
 		f.refuse(ctx, event, *refused)
@@ -311,9 +317,14 @@
 func (f *Forwarder) respondUnavailableFor(ctx *fasthttp.RequestCtx, event Event, cause string, retryAfter time.Duration) {
 	event.Cause = cause
 	event.Status = fasthttp.StatusServiceUnavailable
+	f.respondLater(ctx, event, retryAfter)
+}
+
+// respondLater responds with the status of the event and a Retry-After.
+func (f *Forwarder) respondLater(ctx *fasthttp.RequestCtx, event Event, retryAfter time.Duration) {
 	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
-	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetStatusCode(event.Status)
 	notify(f.OnFailure, event)
 }
 
--- a/entry/forwarder/match.go
+++ b/entry/forwarder/match.go
@@ -26,7 +26,7 @@
 	status int
 	cause  string
 	detail string
-	// retryAfter is the Retry-After time of a response with status 503.
+	// retryAfter is the Retry-After time of a response with status 503 or 429.
 	retryAfter time.Duration
 }
 
@@ -102,6 +102,10 @@
 		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
 	}
 	event.Cause, event.Status = r.cause, r.status
+	if r.status == fasthttp.StatusTooManyRequests {
+		f.respondLater(ctx, event, withJitter(r.retryAfter))
+		return
+	}
 	ctx.SetStatusCode(r.status)
 	notify(f.OnFailure, event)
 }
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -11,6 +11,7 @@
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/entry/caller"
+	"github.com/endiverun/endiverun/entry/creditor"
 	"github.com/endiverun/endiverun/entry/detector"
 	"github.com/endiverun/endiverun/entry/exchanger"
 	"github.com/endiverun/endiverun/entry/tracer"
@@ -68,6 +69,8 @@
 	room *placer.Room
 	// isLeftToOthers says that other hosts hold all connections that the upstreams take.
 	isLeftToOthers bool
+	// credit allows an attempt of an organisation with a quota; nil if there is none.
+	credit *creditor.Credit
 	// refused is why the policy in force does not allow another attempt; nil if it does.
 	refused *refusal
 	// hasResponse says that the client gets an upstream's response.
@@ -79,6 +82,7 @@
 	ctx := r.requestCtx
 	r.span = f.Tracer.Start(string(ctx.Request.Header.Peek(caller.HeaderTraceparent)), "entry.request")
 	defer func() { r.span.End(r.failureCause()) }()
+	defer r.returnCredit()
 	f.RetryBudget.RecordRequest(r.service, r.start)
 	attemptsCtx, cancel := context.WithCancelCause(f.attempts)
 	defer cancel(nil)
@@ -160,6 +164,9 @@
 		return placer.Choice{}, false
 	}
 	choice, ok := r.chooseAsAllowed(ctx)
+	if ok && !r.ensureCredit(ctx) {
+		r.forwarder.Placer.Release(choice)
+	}
 	if r.refused != nil {
 		return choice, false
 	}
@@ -193,7 +200,7 @@
 // again if the policy changed while the request was held.
 func (r *requestState) chooseAsAllowed(ctx context.Context) (placer.Choice, bool) {
 	for {
-		if !r.matchAgain() {
+		if !r.matchAgain() || !r.ensureCredit(ctx) {
 			return placer.Choice{}, false
 		}
 		choice, ok := r.awaitUpstream(ctx, placer.Query{
@@ -276,6 +283,9 @@
 	if result.MayHaveArrived {
 		r.delivered++
 	}
+	if result.State != core.NotRun {
+		r.credit = nil // It is used.
+	}
 	return result
 }
 
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -58,6 +58,9 @@
 	// MalformedResponses counts responses that were no valid ones, by cause (who sent them:
 	// "upstream", "host" or "store") and, for upstreams, service and zone.
 	MalformedResponses Metric = "malformed_responses"
+	// Credits counts calls for credits of organisations with quotas by outcome and, for those
+	// granted, cause: "same-host", "same-zone", "same-region" or "other-region".
+	Credits Metric = "credits"
 	// StoreCalls counts calls to the platform's store by kind of call.
 	StoreCalls Metric = "store_calls"
 	// RequestTime is the time from a request to its response, by service and outcome.
