Load of upstreams: the speed of their machines, and findings for what cannot be read

Cause: a Load field with other than three figures was dropped without a finding, so hosts placed blindly where upstreams state four. Now the first three count, the fourth is how long a request takes on the machine at this moment, and a field that cannot be read is a finding (event 522). The stated slowness lengthens the expected time and the queue of an upstream, halves every 0.4 s, and is taken out of the averages of service times.

--- a/core/placer/candidate.go
+++ b/core/placer/candidate.go
@@ -175,8 +175,9 @@
 // request is exempt too, so that its keys stay in their region.
 func (p *Placer) estimateCost(c *candidate, s *service, query Query, mayMigrate bool, now time.Time) {
 	u, serviceTime := c.upstream, s.serviceTime.valueOr(defaultServiceTime)
-	c.queueTime = u.queueTime(serviceTime, now)
-	c.cost = p.roundTrip(u.region) + c.queueTime
+	slowness := u.expectedSlowness(now)
+	c.queueTime = time.Duration((1 + slowness) * float64(u.queueTime(serviceTime, now)))
+	c.cost = p.roundTrip(u.region) + c.queueTime + time.Duration(slowness*float64(serviceTime))
 	// Failures that the whole service has are no reason to avoid one upstream.
 	if excess := u.failures.rateAt(now) - s.failures.rateAt(now); excess > 0 {
 		c.cost += time.Duration(failurePenalty * excess * float64(serviceTime))
--- a/core/placer/report.go
+++ b/core/placer/report.go
@@ -45,6 +45,9 @@
 	Waiting int
 	// Slots is the number of requests that the upstream runs at a time.
 	Slots int
+	// Slowness is how long a request takes on the upstream's machine at this moment, as a
+	// multiple of the usual time; 0 if the upstream does not say.
+	Slowness float64
 }
 
 // Report holds the result of an attempt.
@@ -54,7 +57,7 @@
 	ResponseTime time.Duration
 	// DialTime is the time that opening a connection took, 0 if an open one was used.
 	DialTime time.Duration
-	// Load is nil if the response did not report the load.
+	// Load is nil if the response did not report the load in a form that can be read.
 	Load *Load
 	// ConnectionsClosed reports that the upstream had closed idle connections. That happens
 	// when it restarts, so the upstream is then possibly cold.
@@ -111,7 +114,7 @@
 	case Done:
 		p.recordAttempt(u, false, now)
 		u.ejectionTime = 0
-		p.recordServiceTime(u, choice, report.ResponseTime-choice.RoundTrip)
+		p.recordServiceTime(u, choice, usualTime(report.ResponseTime-choice.RoundTrip, report.Load))
 	case Failed:
 		p.recordAttempt(u, true, now)
 	case Shed:
@@ -141,6 +144,15 @@
 	}
 }
 
+// usualTime returns how long a request would have taken at the usual speed of its upstream's
+// machine, so that the averages of service times do not follow a speed that changes within them.
+func usualTime(elapsed time.Duration, load *Load) time.Duration {
+	if load == nil || load.Slowness <= 0 {
+		return elapsed
+	}
+	return time.Duration(float64(elapsed) / load.Slowness)
+}
+
 // recordServiceTime adds the service time of an attempt that was not expected to queue.
 func (p *Placer) recordServiceTime(u *upstream, choice Choice, elapsed time.Duration) {
 	if choice.isQueued || elapsed <= 0 {
--- a/core/placer/simulation_test.go
+++ b/core/placer/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,11 +54,24 @@
 	keys, cacheSize int
 	// requestRate is the mean number of requests a second of one host's clients.
 	requestRate float64
+	// noise says how the machines of upstreams change their speed.
+	noise noise
+}
+
+// noise describes machines that are slow for short times, since other programs run there too.
+type noise struct {
+	// share is the fraction of the time in which a machine is slow, and slowness the time that a
+	// request then takes, as a multiple of the usual time.
+	share, slowness float64
+	// interval is the mean time after which the speed of a machine may change.
+	interval time.Duration
+	// isStated says that upstreams state their slowness.
+	isStated bool
 }
 
 var (
-	lookups = profile{80 * time.Millisecond, 260 * time.Millisecond, 6, 150, 90, 120}
-	notices = profile{100 * time.Millisecond, 330 * time.Millisecond, 4, 50, 51, 48}
+	lookups = profile{80 * time.Millisecond, 260 * time.Millisecond, 6, 150, 90, 120, noise{}}
+	notices = profile{100 * time.Millisecond, 330 * time.Millisecond, 4, 50, 51, 48, noise{}}
 )
 
 type simulatedHost struct {
@@ -73,6 +87,8 @@
 	region  core.RegionName
 	running int
 	queue   []*job
+	// slowness is that of the machine at present; 0 counts as 1.
+	slowness float64
 	// cachedKeys holds the remembered keys, the most recently used one last.
 	cachedKeys []string
 }
@@ -158,6 +174,11 @@
 		}
 		m.schedule(0, arrive)
 	}
+	if m.noise.interval > 0 {
+		for _, zone := range slices.Sorted(maps.Keys(m.servers)) {
+			m.changeSpeed(m.servers[zone])
+		}
+	}
 	end := start.Add(length)
 	for m.events.Len() > 0 && m.events[0].at.Before(end) {
 		next, ok := heap.Pop(&m.events).(event)
@@ -169,6 +190,15 @@
 	}
 }
 
+// changeSpeed draws the speed of a machine, now and again after random times.
+func (m *simulation) changeSpeed(s *server) {
+	s.slowness = 1
+	if m.random.Float64() < m.noise.share {
+		s.slowness = m.noise.slowness
+	}
+	m.schedule(time.Duration(m.random.ExpFloat64()*float64(m.noise.interval)), func() { m.changeSpeed(s) })
+}
+
 // request sends one request of the host's clients.
 func (m *simulation) request(h *simulatedHost) {
 	key := fmt.Sprint(h.region, "-", m.random.IntN(m.keys))
@@ -215,16 +245,20 @@
 	if len(s.cachedKeys) > m.cacheSize {
 		s.cachedKeys = s.cachedKeys[1:]
 	}
+	usual := m.hitTime
 	if i < 0 {
-		return m.missTime
+		usual = m.missTime
 	}
-	return m.hitTime
+	return time.Duration(float64(usual) * max(s.slowness, 1))
 }
 
 // finish ends a request and returns its response to the host.
 func (m *simulation) finish(s *server, j *job) {
 	s.running--
 	load := &placer.Load{Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	if m.noise.isStated {
+		load.Slowness = s.slowness
+	}
 	m.startQueued(s)
 	m.schedule(j.roundTrip/2, func() {
 		elapsed := m.now.Sub(j.start)
@@ -284,3 +318,28 @@
 		})
 	}
 }
+
+// TestMachinesChangeTheirSpeed simulates upstreams whose machines are slow for short times. What
+// they state of it is as old as the last response. More requests must be in time than if they
+// stated nothing.
+func TestMachinesChangeTheirSpeed(t *testing.T) {
+	counts := map[core.ZoneName]int{"slz-a": 4, "slz-b": 4, "for-a": 4, "for-b": 4, "nat-a": 4, "nat-b": 4}
+	for _, interval := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			share := func(isStated bool) float64 {
+				busy := lookups
+				busy.requestRate *= 1.3
+				busy.noise = noise{share: 0.15, slowness: 2.5, interval: interval, isStated: isStated}
+				m := newSimulation(busy, counts)
+				m.countFrom = start.Add(4 * time.Second)
+				m.run(40 * time.Second)
+				return float64(m.inTime) / float64(m.total)
+			}
+			stated, unstated := share(true), share(false)
+			t.Logf("in time %.3f, without the statement %.3f", stated, unstated)
+			if stated < unstated {
+				t.Errorf("in time %.3f, without the statement %.3f", stated, unstated)
+			}
+		})
+	}
+}
--- a/core/placer/upstream.go
+++ b/core/placer/upstream.go
@@ -19,6 +19,12 @@
 	// loadReportFreshness is how long a reported load counts in full. After that
 	// it halves with each further loadReportFreshness.
 	loadReportFreshness = 500 * time.Millisecond
+	// slownessHalfLife is the half-life of a stated slowness. Other programs on the machine of
+	// the upstream come and go within fractions of a second.
+	slownessHalfLife = 400 * time.Millisecond
+	// maxSlowness is the largest slowness that counts. A machine that is slower than that is
+	// avoided by its queue and its failures.
+	maxSlowness = 10.0
 	// failureHalfLife is the half-life of a failure rate without new attempts.
 	failureHalfLife = 3 * time.Second
 	// failureWeight is the weight of one attempt in the failure rate of an
@@ -63,6 +69,9 @@
 	// reportedAt, without those that this host had in flight.
 	externalLoad float64
 	reportedAt   time.Time
+	// slowness is what the upstream stated last at reportedAt (Load.Slowness), less 1; 0 if it
+	// states none.
+	slowness float64
 
 	failures failureRate
 	// serviceTime averages the processing time of requests that did not queue.
@@ -156,6 +165,16 @@
 	if load.Slots > 0 {
 		u.Slots = load.Slots
 	}
+	u.slowness = 0
+	if load.Slowness > 0 {
+		u.slowness = min(load.Slowness, maxSlowness) - 1
+	}
+}
+
+// expectedSlowness returns by how much longer than usual a request is expected to take, as a
+// multiple of the usual time. What was stated counts less the older it is.
+func (u *upstream) expectedSlowness(now time.Time) float64 {
+	return decay(u.slowness, now.Sub(u.reportedAt), slownessHalfLife)
 }
 
 // markOverloaded records that the upstream shed a request without reporting its
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -201,6 +201,7 @@
 		MaxConnections:   c.maxConnections,
 		OnLeaving:        c.recordLeaving,
 		OnMalformed:      c.recordMalformed,
+		OnLoadUnreadable: c.recordUnreadableLoad,
 	}
 	c.fetcher.OnMalformed = c.recordMalformedHost
 	c.forwarder = c.newForwarder()
--- a/entry/controller/malformed.go
+++ b/entry/controller/malformed.go
@@ -26,3 +26,10 @@
 func (c *Controller) recordMalformedHost(string, error) {
 	c.Meter.Count(meter.MalformedResponses, meter.Labels{Cause: malformedHost})
 }
+
+// recordUnreadableLoad logs that the load that an upstream stated cannot be read. The host then
+// goes by the requests that it sent there itself.
+func (c *Controller) recordUnreadableLoad(upstream core.Upstream, finding string) {
+	c.Log.Event(logger.UpstreamLoadUnreadable).
+		Str("upstream", string(upstream.Name)).Str("service", string(upstream.Service)).Str("finding", finding).Send()
+}
--- a/entry/exchanger/answer.go
+++ b/entry/exchanger/answer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -75,10 +74,14 @@
 
 // classify derives the result of an attempt from its response. Status 421 and
 // the NotRun field show that the request was not run.
-func (e *Exchanger) classify(response *fasthttp.Response) Result {
+func (e *Exchanger) classify(upstream core.Upstream, response *fasthttp.Response) Result {
 	header := &response.Header
+	load, finding := parseLoad(header.PeekAll(e.HeaderNames.Load))
+	if finding != "" && e.OnLoadUnreadable != nil {
+		e.OnLoadUnreadable(upstream, finding)
+	}
 	report := placer.Report{
-		Load:            parseLoad(string(header.Peek(e.HeaderNames.Load))),
+		Load:            load,
 		RemainingWarmUp: parseWarmUp(string(header.Peek(e.HeaderNames.RemainingWarmUp))),
 		RateLimit:       parseRateLimit(header.PeekAll(e.HeaderNames.RateLimit)),
 		Availability:    e.availabilityOf(response),
@@ -103,25 +106,6 @@
 	return result
 }
 
-// parseLoad parses the value of the Load field: running requests, waiting
-// requests and slots, separated by commas. It returns nil if the text is invalid or a
-// number is larger than the number of slots that an upstream can have.
-func parseLoad(text string) *placer.Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var values [3]int
-	for i, p := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || n < 0 || n > core.MaxSlots {
-			return nil
-		}
-		values[i] = n
-	}
-	return &placer.Load{Running: values[0], Waiting: values[1], Slots: values[2]}
-}
-
 // maxWarmUp is the longest remaining warm-up time that is believed.
 const maxWarmUp = time.Hour
 
--- a/entry/exchanger/exchanger.go
+++ b/entry/exchanger/exchanger.go
@@ -48,7 +48,8 @@
 	Target string
 	// Load, in responses, holds the upstream's number of running requests, of waiting
 	// requests and of slots (requests that it can run at the same time), separated by
-	// commas.
+	// commas. A fourth number says how long a request takes on its machine at this moment, in
+	// percent of the usual time. Further numbers are ignored.
 	Load string
 	// NotRun is present, with any value that is not empty, in responses to requests that
 	// were not run.
@@ -168,6 +169,9 @@
 	// OnMalformed is called for each response, also to a health check, that is no valid one;
 	// nil ignores it.
 	OnMalformed func(upstream core.Upstream, err error)
+	// OnLoadUnreadable is called for each response whose Load field cannot be read, with what is
+	// wrong with it; nil ignores it.
+	OnLoadUnreadable func(upstream core.Upstream, finding string)
 
 	pool     pool
 	buffered budgeter.Budget
@@ -360,7 +364,7 @@
 // connection may be reused.
 func (e *Exchanger) conclude(conn *connection, attempt Attempt, write *requestWrite, answer *received) (Result, bool) {
 	response := answer.response
-	result := e.classify(response)
+	result := e.classify(attempt.Upstream, response)
 	result.Stream = answer.stream
 	isReusable := !response.ConnectionClose() && conn.updateIdleTimeout(response)
 	if isReusable {
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -115,6 +115,8 @@
 	UpstreamsDivided = Event{520, "upstreams-divided", zerolog.InfoLevel, "A service's upstreams take fewer connections than there are hosts."}
 	UpstreamsShared  = Event{521, "upstreams-shared", zerolog.InfoLevel, "Each host may connect to all upstreams of a service again."}
 
+	UpstreamLoadUnreadable = Event{522, "upstream-load-unreadable", zerolog.WarnLevel, "An upstream stated its load in an invalid form."}
+
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
 	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "A policy entry is invalid; the other entries apply."}
@@ -140,6 +142,7 @@
 	UpstreamNotPrepared, UpstreamCheckFailed, UpstreamCold,
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
 	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamReopened, UpstreamsDivided, UpstreamsShared,
+	UpstreamLoadUnreadable,
 	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
