Refuse by a shorter queue while more is asked than fits, the less urgent first

Load: several times the room, such as an organisation that sends five times its usual beside a burst. Cause of the loss: requests were accepted up to a queue of 1.5 target latencies, so under lasting overload every response was late; a priority had no effect at all.

--- /dev/null
+++ b/core/assessor/assessor.go
@@ -0,0 +1,205 @@
+// Package assessor decides whether a request is worth sending to the upstream that was selected
+// for it, or should be refused at once.
+//
+// A request that cannot be answered before its deadline is refused. One that would queue for
+// longer than a multiple of its target latency is refused too, since it would also delay requests
+// that can still meet theirs. The multiple depends on the load:
+//
+//   - While there is almost room for all, it is large. A late response is better for a client
+//     than a refusal, and queues end soon.
+//   - While more is asked than fits, the queues of all upstreams stand at whatever length is
+//     allowed, and every response is late by that. The multiple is then small, so that those
+//     requests that are sent are answered in time. The number of them stays the same.
+//
+// There are two signs of that. Queues stand if no request has found a short one for some time. And
+// where far more is asked than fits, a large share of the requests is refused, also if some queues
+// look short because what is known of them is old. Both are counted over the requests of a priority
+// and all more urgent ones: a request is refused for less urgent ones only where these are refused
+// already.
+//
+// # Usage
+//
+//	a := &assessor.Assessor{}
+//	if a.Accepts(request, expectation, now) { /* send */ }
+package assessor
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/endiverun/endiverun/core"
+)
+
+const (
+	// longestQueue is the longest acceptable time until an upstream starts a request, as a
+	// multiple of the target latency, and shortestQueue that while more is asked than fits. The
+	// latter leaves time for the execution. Requests that are more urgent than others may queue for
+	// up to urgentQueue then, since the others fill the queue up to shortestQueue.
+	longestQueue  = 1.5
+	shortestQueue = 0.35
+	urgentQueue   = 0.7
+	// lowRefusedShare and highRefusedShare are the shares of refused requests between which the
+	// multiple falls from longestQueue. At the former twice as much is asked as
+	// fits, at the latter five times as much.
+	lowRefusedShare  = 0.5
+	highRefusedShare = 0.8
+	// standingTime is how long no request must have found a queue of at most urgentQueue until
+	// queues count as standing. They do until the refused share falls below endRefusedShare.
+	standingTime    = time.Second
+	endRefusedShare = 0.05
+	// memory is the time constant with which earlier requests are forgotten.
+	memory = time.Second
+	// minRequests is the number of remembered requests below which the share counts as 0.
+	minRequests = 4
+)
+
+// Request is what is known of a request that may be sent.
+type Request struct {
+	Service  core.ServiceName
+	Priority core.Priority
+	// TargetLatency is the response time that the operator aims for; 0 means no target.
+	TargetLatency time.Duration
+	// Left is the time until the deadline.
+	Left time.Duration
+	// IsFirst says that this is the first attempt. After a rejection by an upstream the request is
+	// late in any case, so only its deadline counts.
+	IsFirst bool
+}
+
+// Expectation is the expected delay until an upstream starts a request.
+type Expectation struct {
+	RoundTrip, QueueTime time.Duration
+}
+
+// Assessor decides for one host.
+//
+// Lock order: Assessor.mu is a leaf.
+type Assessor struct {
+	mu       sync.Mutex
+	services map[core.ServiceName]map[core.Priority]*counts
+}
+
+// Accepts reports whether the request should be sent, and counts it if this is its first attempt.
+func (a *Assessor) Accepts(r Request, e Expectation, now time.Time) bool {
+	delay := e.RoundTrip + e.QueueTime
+	if !r.IsFirst {
+		return delay <= r.Left
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.countsOf(r.Service, r.Priority)
+	isShort := delay <= time.Duration(urgentQueue*float64(r.TargetLatency))
+	share := a.refusedShare(r.Service, r.Priority, now)
+	c.updateStanding(isShort, share, now)
+	shortest := shortestQueue
+	if a.hasLessUrgent(r.Service, r.Priority, now) {
+		shortest = urgentQueue
+	}
+	multiple := longestQueueAt(share, shortest)
+	if c.isStanding {
+		multiple = shortest
+	}
+	isAccepted := delay <= r.Left
+	if r.TargetLatency > 0 && delay > time.Duration(multiple*float64(r.TargetLatency)) {
+		isAccepted = false
+	}
+	c.add(!isAccepted, now)
+	return isAccepted
+}
+
+// RefusedShare returns the share of the requests of the priority and of more urgent ones that was
+// refused lately.
+func (a *Assessor) RefusedShare(service core.ServiceName, priority core.Priority, now time.Time) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusedShare(service, priority, now)
+}
+
+// refusedShare is RefusedShare for a caller that holds Assessor.mu.
+func (a *Assessor) refusedShare(service core.ServiceName, priority core.Priority, now time.Time) float64 {
+	var all, refused float64
+	for p, c := range a.services[service] {
+		if p <= priority { // 0 is the most urgent.
+			c.forget(now)
+			all += c.all
+			refused += c.refused
+		}
+	}
+	if all < minRequests {
+		return 0
+	}
+	return refused / all
+}
+
+// countsOf returns the counts of a priority. The caller holds Assessor.mu.
+func (a *Assessor) countsOf(service core.ServiceName, priority core.Priority) *counts {
+	if a.services == nil {
+		a.services = map[core.ServiceName]map[core.Priority]*counts{}
+	}
+	if a.services[service] == nil {
+		a.services[service] = map[core.Priority]*counts{}
+	}
+	c := a.services[service][priority]
+	if c == nil {
+		c = &counts{}
+		a.services[service][priority] = c
+	}
+	return c
+}
+
+// hasLessUrgent reports whether there were less urgent requests lately. The caller holds
+// Assessor.mu.
+func (a *Assessor) hasLessUrgent(service core.ServiceName, priority core.Priority, now time.Time) bool {
+	for p, c := range a.services[service] {
+		if c.forget(now); p > priority && c.all >= minRequests {
+			return true
+		}
+	}
+	return false
+}
+
+// longestQueueAt returns the longest acceptable queue as a multiple of the target latency, which is
+// at least the given one.
+func longestQueueAt(refusedShare, shortest float64) float64 {
+	excess := (refusedShare - lowRefusedShare) / (highRefusedShare - lowRefusedShare)
+	return longestQueue + (shortest-longestQueue)*min(max(excess, 0), 1)
+}
+
+// counts counts requests with exponential decay.
+type counts struct {
+	all, refused float64
+	updatedAt    time.Time
+	// shortAt is when a request found a short queue last, or the first request came.
+	shortAt    time.Time
+	isStanding bool
+}
+
+// updateStanding records whether a request finds a short queue.
+func (c *counts) updateStanding(isShort bool, refusedShare float64, now time.Time) {
+	if isShort || c.shortAt.IsZero() || now.Sub(c.updatedAt) > standingTime {
+		c.shortAt = now
+	}
+	if now.Sub(c.shortAt) >= standingTime {
+		c.isStanding = true
+	} else if refusedShare < endRefusedShare {
+		c.isStanding = false
+	}
+}
+
+func (c *counts) forget(now time.Time) {
+	if elapsed := now.Sub(c.updatedAt); elapsed > 0 {
+		keep := math.Exp(-elapsed.Seconds() / memory.Seconds())
+		c.all *= keep
+		c.refused *= keep
+		c.updatedAt = now
+	}
+}
+
+func (c *counts) add(isRefused bool, now time.Time) {
+	c.forget(now)
+	c.all++
+	if isRefused {
+		c.refused++
+	}
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/assessor"
 	"github.com/endiverun/endiverun/core/authenticator"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/core/retrier"
@@ -148,6 +149,7 @@
 
 	policy   atomic.Pointer[core.RoutingPolicy]
 	splitter splitter
+	assessor assessor.Assessor
 	held     heldRequests
 	returns  returnSchedule
 	pending  pendingRequests
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/assessor"
 	"github.com/endiverun/endiverun/core/placer"
 	"github.com/endiverun/endiverun/entry/caller"
 	"github.com/endiverun/endiverun/entry/creditor"
@@ -21,9 +22,6 @@
 	// maxAttempts limits the attempts of one request, including those that were
 	// not executed.
 	maxAttempts = 5
-	// maxQueueFactor is the longest acceptable delay until an upstream starts a
-	// request, as a multiple of the route's latency objective.
-	maxQueueFactor = 1.5
 	// minRetryAfter and maxRetryAfter are the bounds of the Retry-After time.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
@@ -183,7 +181,7 @@
 		r.forwarder.Placer.Release(choice)
 		return choice, false
 	}
-	if r.isQueueTooLong(choice, now) {
+	if !r.isWorthSending(choice, now) {
 		r.forwarder.Placer.Release(choice)
 		r.event.Detail = "the expected queueing time is too long"
 		return choice, false
@@ -242,18 +240,17 @@
 	return true
 }
 
-// isQueueTooLong reports whether the request should not queue for the chosen
-// upstream, because its deadline would pass first, or because it would miss the
-// route's latency objective and delay requests that can still meet it. The second
-// limit applies only to the first attempt: after a rejection by an upstream the
-// request is late in any case.
-func (r *requestState) isQueueTooLong(choice placer.Choice, now time.Time) bool {
-	delay := choice.RoundTrip + choice.QueueTime
-	if now.Add(delay).After(r.deadline) {
-		return true
-	}
-	maxDelay := time.Duration(maxQueueFactor * float64(r.match.route.TargetLatency))
-	return maxDelay > 0 && len(r.tried) == 0 && delay > maxDelay
+// isWorthSending reports whether the request should be sent to the chosen upstream.
+func (r *requestState) isWorthSending(choice placer.Choice, now time.Time) bool {
+	request := assessor.Request{
+		Service:       r.service,
+		Priority:      core.PriorityOf(r.match.route, r.match.organisation),
+		TargetLatency: r.match.route.TargetLatency,
+		Left:          r.deadline.Sub(now),
+		IsFirst:       len(r.tried) == 0,
+	}
+	expected := assessor.Expectation{RoundTrip: choice.RoundTrip, QueueTime: choice.QueueTime}
+	return r.forwarder.assessor.Accepts(request, expected, now)
 }
 
 // sendAttempt sends the request to the chosen upstream and waits for the result.
