--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -11,11 +11,9 @@
 //     allowed, and every response is late by that. The multiple is then small, so that those
 //     requests that are sent are answered in time. The number of them stays the same.
 //
-// There are two signs of that. Queues stand if no request has found a short one for some time. And
-// where far more is asked than fits, a large share of the requests is refused, also if some queues
-// look short because what is known of them is old. Both are counted over the requests of a priority
-// and all more urgent ones: a request is refused for less urgent ones only where these are refused
-// already.
+// Queues stand if no request has found a short one for some time. The requests of a priority and all
+// more urgent ones count for that, so a request is refused for less urgent ones only where these are
+// refused already.
 //
 // # Usage
 //
@@ -39,11 +37,6 @@
 	longestQueue  = 1.5
 	shortestQueue = 0.35
 	urgentQueue   = 0.7
-	// lowRefusedShare and highRefusedShare are the shares of refused requests between which the
-	// multiple falls from longestQueue. At the former twice as much is asked as
-	// fits, at the latter five times as much.
-	lowRefusedShare  = 0.5
-	highRefusedShare = 0.8
 	// standingTime is how long no request must have found a queue of at most urgentQueue until
 	// queues count as standing. They do until the refused share falls below endRefusedShare.
 	standingTime    = time.Second
@@ -96,7 +89,7 @@
 	if a.hasLessUrgent(r.Service, r.Priority, now) {
 		shortest = urgentQueue
 	}
-	multiple := longestQueueAt(share, shortest)
+	multiple := longestQueue
 	if c.isStanding {
 		multiple = shortest
 	}
@@ -159,13 +152,6 @@
 	return false
 }
 
-// longestQueueAt returns the longest acceptable queue as a multiple of the target latency, which is
-// at least the given one.
-func longestQueueAt(refusedShare, shortest float64) float64 {
-	excess := (refusedShare - lowRefusedShare) / (highRefusedShare - lowRefusedShare)
-	return longestQueue + (shortest-longestQueue)*min(max(excess, 0), 1)
-}
-
 // counts counts requests with exponential decay.
 type counts struct {
 	all, refused float64
