--- a/core/organisation.go
+++ b/core/organisation.go
@@ -14,6 +14,15 @@
 	return sha256.Sum256(key)
 }
 
+// DigestKeys returns the digests of several API keys, nil if there are none.
+func DigestKeys(keys []string) []KeyDigest {
+	var digests []KeyDigest
+	for _, key := range keys {
+		digests = append(digests, DigestKey([]byte(key)))
+	}
+	return digests
+}
+
 // Quota limits the requests of an organisation that run, over all hosts together. A Rate of 0
 // means no limit.
 type Quota struct {
@@ -35,6 +44,19 @@
 	Quota       Quota        `cbor:"5,keyasint,omitempty"`
 }
 
+// Validate returns Findings with everything that prevents requests of the organisation from being
+// served.
+func (o *OrganisationPolicy) Validate() error {
+	var findings Findings
+	if o.Name == "" {
+		findings.Addf("name", "is empty")
+	}
+	if !(o.Quota.Rate >= 0) || !(o.Quota.Burst >= 0) {
+		findings.Addf("quota", "rate %v and burst %v must not be negative", o.Quota.Rate, o.Quota.Burst)
+	}
+	return findings.Err()
+}
+
 // CommonHomeRegions returns the regions that two lists of home regions both allow, where an
 // empty list allows all. It returns false if there is none, so that nothing may run.
 func CommonHomeRegions(a, b []RegionName) ([]RegionName, bool) {
--- a/entry/controller/confirm.go
+++ b/entry/controller/confirm.go
@@ -4,10 +4,12 @@
 	"time"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/replicator"
 	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/heartbeater"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/timekeeper"
+	"github.com/endiverun/endiverun/entry/watcher"
 )
 
 // confirmInterval is the time between two calls in which a host asks the reader of its zone as
@@ -15,9 +17,12 @@
 // while the host was frozen would make an old state look new.
 const confirmInterval = 500 * time.Millisecond
 
-// ConfirmPolicy records that the store held the policy of the given version as of a time.
-func (c *Controller) ConfirmPolicy(version uint64, asOf core.Uptime) {
-	c.authenticator.Confirm(version, asOf)
+// ConfirmPolicies records as of when the policy of the given name is known to be the newest. One that
+// cannot be decoded is not in the list. It may have withdrawn keys, so nothing is confirmed then.
+func (c *Controller) ConfirmPolicies(name string, list watcher.List[*replicator.Policy], asOf core.Uptime) {
+	if policy, ok := list.Objects[name]; ok {
+		c.authenticator.Confirm(policy.Version, asOf)
+	}
 }
 
 // Confirmation returns as of when this host knows which policy is the newest.
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -93,9 +93,6 @@
 	Seeds []string
 	// SnapshotAddress returns the address at which another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
-	// CreditAddress is the IP address and UDP port at which this host grants credits for requests
-	// of organisations with quotas; all hosts use the same port. Without it no such request runs.
-	CreditAddress string
 	// SetReadMode is called when the host should read other parts of the store than
 	// before; the reads are those whose results the user passes to ApplyUpdate. If nil,
 	// this host always reads all. The mode at the start is ReadAll, and ReadNone if
--- a/entry/controller/quotas.go
+++ b/entry/controller/quotas.go
@@ -2,22 +2,26 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/allotter"
 	"github.com/endiverun/endiverun/entry/creditor"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/meter"
 )
 
-// newCreditor returns the creditor of a host whose roster exists; nil if the host has no address
-// for credits.
+// newCreditor returns the creditor of a host whose roster exists; nil if the host has no address for
+// credits.
 func (c *Controller) newCreditor() *creditor.Creditor {
-	if c.CreditAddress == "" {
+	address, err := creditAddress(c.Self)
+	if err != nil {
+		c.Log.Event(logger.ListenFailed).Str("address", c.Self.PeerAddress).Err(err).Send()
 		return nil
 	}
 	return &creditor.Creditor{
-		Address: c.CreditAddress,
+		Address: address,
 		Self:    c.Self.Name,
 		Allotter: &allotter.Allotter{
 			Self:      c.Self,
@@ -31,6 +35,16 @@
 	}
 }
 
+// creditAddress returns the IP address and UDP port at which a host grants credits: the port after
+// that of its heartbeats. All hosts use the same ports.
+func creditAddress(host core.Host) (string, error) {
+	peer, err := netip.ParseAddrPort(host.PeerAddress)
+	if err != nil {
+		return "", err
+	}
+	return netip.AddrPortFrom(peer.Addr(), peer.Port()+1).String(), nil
+}
+
 // exchangeCredits answers other hosts that ask for credits until ctx ends. It begins with the
 // first policy that has organisations.
 func (c *Controller) exchangeCredits(ctx context.Context) {
@@ -43,7 +57,7 @@
 		return
 	}
 	if err := c.creditor.Run(ctx); err != nil {
-		c.Log.Event(logger.ListenFailed).Str("address", c.CreditAddress).Err(err).Send()
+		c.Log.Event(logger.ListenFailed).Str("address", c.creditor.Address).Err(err).Send()
 	}
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -280,8 +280,8 @@
 		f.respondUnavailable(ctx, Event{RequestID: f.requestID(ctx)}, "no-policy", notReadyRetryAfter)
 		return
 	}
-	request.asked = f.readAsked(ctx)
-	matched, refused := f.match(policy, request.asked)
+	request.matchInput = f.readMatchInput(ctx)
+	matched, refused := f.match(policy, request.matchInput)
 	if refused == nil {
 		refused = f.refusedByQuota(matched, now)
 	}
--- a/entry/forwarder/inflight.go
+++ b/entry/forwarder/inflight.go
@@ -30,10 +30,10 @@
 type pendingRequest struct {
 	mu          sync.Mutex
 	description Pending
-	// claim counts the body of the request, and asked is what its header says. Only the
+	// claim counts the body of the request, and matchInput is what its header says. Only the
 	// goroutine of its connection uses them.
-	claim budgeter.Claim
-	asked asked
+	claim      budgeter.Claim
+	matchInput matchInput
 }
 
 // update changes the description.
--- a/entry/forwarder/match.go
+++ b/entry/forwarder/match.go
@@ -30,14 +30,14 @@
 	retryAfter time.Duration
 }
 
-// asked is what a request says about itself that decides how it is matched.
-type asked struct {
+// matchInput is what a request says about itself that decides how it is matched.
+type matchInput struct {
 	hostname, path string
 	credentials    authenticator.Credentials
 }
 
-func (f *Forwarder) readAsked(ctx *fasthttp.RequestCtx) asked {
-	return asked{
+func (f *Forwarder) readMatchInput(ctx *fasthttp.RequestCtx) matchInput {
+	return matchInput{
 		hostname:    requestHostname(ctx),
 		path:        requestPath(ctx),
 		credentials: authenticator.ParseCredentials(ctx.Request.Header.PeekAll(f.HeaderNames.Credentials)),
@@ -46,7 +46,7 @@
 
 // match returns what the policy says about a request, or why it may not run. It is called again
 // before each attempt, since routes, keys and home regions may change while a request waits.
-func (f *Forwarder) match(policy *core.RoutingPolicy, request asked) (match, *refusal) {
+func (f *Forwarder) match(policy *core.RoutingPolicy, request matchInput) (match, *refusal) {
 	route, ok := policy.Match(request.hostname, request.path)
 	if !ok {
 		return match{policy: policy}, f.refuseUnlessCurrent(fasthttp.StatusNotFound, "no-route")
--- a/entry/forwarder/organisation_test.go
+++ b/entry/forwarder/organisation_test.go
@@ -190,3 +190,32 @@
 		})
 	}
 }
+
+// TestRefusedBeforeBody checks that a client that sends a long body gets the whole refusal that was
+// decided by its header, and that what it sends on is not taken for another request.
+func TestRefusedBeforeBody(t *testing.T) {
+	is := is.New(t)
+	const length = 4 << 20
+	u := &fakeUpstream{response: completeResponse}
+	h := newHost(t, orderRoute, u)
+	h.setOrganisations(4, orderRoute, guild())
+	for i := range 10 {
+		c := h.dial(t)
+		_, _ = io.WriteString(c, "POST /o/"+strconv.Itoa(i)+" HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n"+
+			"Authorization: Bearer k-other\r\nContent-Length: "+strconv.Itoa(length)+"\r\n\r\n")
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			line := []byte(strings.Repeat("GET /o/smuggled HTTP/1.1\r\nHost: desk.example\r\n\r\n", 64))
+			var err error
+			for n := 0; n < length && err == nil; n += len(line) {
+				_, err = c.Write(line[:min(len(line), length-n)])
+			}
+		}()
+		response, err := c.receive()
+		is.NoErr(err)
+		is.Equal(response.StatusCode(), 401)
+		<-sent
+	}
+	is.Equal(u.requests.Load(), int32(0))
+}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -220,7 +220,7 @@
 // its deadlines.
 func (r *requestState) matchAgain() bool {
 	f := r.forwarder
-	matched, refused := f.match(f.policy.Load(), r.pending.asked)
+	matched, refused := f.match(f.policy.Load(), r.pending.matchInput)
 	if r.refused = refused; refused != nil {
 		return false
 	}
