Overload: a time without requests does not make queues count as standing

Cause: the time of the last request was updated before it was compared, so two requests that found long queues seconds apart counted as a standing queue, and the next ones of a rare class were refused by the short limit. TestSparseRequests fails before.

--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -156,16 +156,18 @@
 type counts struct {
 	all, refused float64
 	updatedAt    time.Time
-	// shortAt is when a request found a short queue last, or the first request came.
-	shortAt    time.Time
-	isStanding bool
+	// askedAt is when the last request came. shortAt is when one found a short queue last, or when
+	// the first one came after a time without requests.
+	askedAt, shortAt time.Time
+	isStanding       bool
 }
 
 // updateStanding records whether a request finds a short queue.
 func (c *counts) updateStanding(isShort bool, refusedShare float64, now time.Time) {
-	if isShort || c.shortAt.IsZero() || now.Sub(c.updatedAt) > standingTime {
+	if isShort || now.Sub(c.askedAt) >= standingTime {
 		c.shortAt = now
 	}
+	c.askedAt = now
 	if now.Sub(c.shortAt) >= standingTime {
 		c.isStanding = true
 	} else if refusedShare < endRefusedShare {
--- a/core/assessor/assessor_test.go
+++ b/core/assessor/assessor_test.go
@@ -169,3 +169,14 @@
 	is.Equal(a.RefusedShare("other", 2, start), 0.0)
 	is.Equal(a.RefusedShare(service, 2, start.Add(time.Minute)), 0.0)
 }
+
+// TestSparseRequests checks that a few requests that find long queues, seconds apart, do not make
+// queues count as standing: they say little about the time between them.
+func TestSparseRequests(t *testing.T) {
+	is := is.New(t)
+	var a assessor.Assessor
+	request := assessor.Request{Service: service, TargetLatency: target, Left: time.Minute, IsFirst: true}
+	for i := range 5 {
+		is.True(a.Accepts(request, assessor.Expectation{QueueTime: target}, start.Add(time.Duration(2*i)*time.Second)))
+	}
+}
