Overload: shorten queues only where organisations compete

Now it acts where the policy has organisations. TestWithoutOrganisations fails without the condition.

--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -7,7 +7,7 @@
 //
 //   - While there is almost room for all, it is large. A late response is better for a client
 //     than a refusal, and queues end soon.
-//   - While more is asked than fits, the queues of all upstreams stand at whatever length is
+//   - While more is asked than fits and organisations compete for the room, the queues of all upstreams stand at whatever length is
 //     allowed, and every response is late by that. The multiple is then small, so that those
 //     requests that are sent are answered in time. The number of them stays the same.
 //
@@ -55,6 +55,9 @@
 	TargetLatency time.Duration
 	// Left is the time until the deadline.
 	Left time.Duration
+	// IsContended says that organisations compete for the upstreams. Only then is the acceptable
+	// queue shortened.
+	IsContended bool
 	// IsFirst says that this is the first attempt. After a rejection by an upstream the request is
 	// late in any case, so only its deadline counts.
 	IsFirst bool
@@ -90,7 +93,7 @@
 		shortest = urgentQueue
 	}
 	multiple := longestQueue
-	if c.isStanding {
+	if c.isStanding && r.IsContended {
 		multiple = shortest
 	}
 	isAccepted := delay <= r.Left
--- a/core/assessor/assessor_test.go
+++ b/core/assessor/assessor_test.go
@@ -52,6 +52,8 @@
 	// runTime is how long requests run on average. They vary by half of it.
 	runTime time.Duration
 	random  *rand.Rand
+	// isAlone says that no organisations compete.
+	isAlone bool
 	// free holds the times at which the slots become free.
 	free []time.Time
 }
@@ -92,7 +94,9 @@
 		}
 	}
 	wait := max(s.free[first].Sub(now), 0)
-	request := assessor.Request{Service: service, Priority: priority, TargetLatency: target, Left: 2 * time.Second, IsFirst: true}
+	request := assessor.Request{
+		Service: service, Priority: priority, TargetLatency: target, Left: 2 * time.Second, IsContended: !s.isAlone, IsFirst: true,
+	}
 	isAccepted := s.assessor.Accepts(request, assessor.Expectation{QueueTime: wait}, now)
 	run := time.Duration((0.5 + s.random.Float64()) * float64(s.runTime))
 	if isAccepted {
@@ -155,7 +159,9 @@
 	is := is.New(t)
 	var a assessor.Assessor
 	ask := func(priority core.Priority, wait time.Duration) {
-		request := assessor.Request{Service: service, Priority: priority, TargetLatency: target, Left: time.Minute, IsFirst: true}
+		request := assessor.Request{
+			Service: service, Priority: priority, TargetLatency: target, Left: time.Minute, IsContended: true, IsFirst: true,
+		}
 		a.Accepts(request, assessor.Expectation{QueueTime: wait}, start)
 	}
 	ask(2, time.Hour)
@@ -175,8 +181,18 @@
 func TestSparseRequests(t *testing.T) {
 	is := is.New(t)
 	var a assessor.Assessor
-	request := assessor.Request{Service: service, TargetLatency: target, Left: time.Minute, IsFirst: true}
+	request := assessor.Request{Service: service, TargetLatency: target, Left: time.Minute, IsContended: true, IsFirst: true}
 	for i := range 5 {
 		is.True(a.Accepts(request, assessor.Expectation{QueueTime: target}, start.Add(time.Duration(2*i)*time.Second)))
 	}
 }
+
+// TestWithoutOrganisations checks that the acceptable queue is never shortened where no organisations
+// compete, whatever the load.
+func TestWithoutOrganisations(t *testing.T) {
+	is := is.New(t)
+	s := &station{slots: 40, runTime: 200 * time.Millisecond, isAlone: true}
+	got := s.play(map[core.Priority]float64{0: 600})[0]
+	is.Equal(got.inTime, 0) // All of them queue for about 1.5 times the target.
+	is.True(float64(got.served) >= 0.95*200*50)
+}
--- a/entry/forwarder/serve.go
+++ b/entry/forwarder/serve.go
@@ -247,6 +247,7 @@
 		Priority:      core.PriorityOf(r.match.route, r.match.organisation),
 		TargetLatency: r.match.route.TargetLatency,
 		Left:          r.deadline.Sub(now),
+		IsContended:   r.match.policy.HasOrganisations(),
 		IsFirst:       len(r.tried) == 0,
 	}
 	expected := assessor.Expectation{RoundTrip: choice.RoundTrip, QueueTime: choice.QueueTime}
