One call between hosts, one datagram reader, one description of a host

Allotter.Tokens had no user. The port for credits was taken without a check that it is among the ports for other hosts; now it must be. A changed withdrawal bound was applied half on SIGHUP (the age, not the watch and not the followers, which then refused all keys); it now changes with a restart, as the comment says.

--- a/core/allotter/allotter.go
+++ b/core/allotter/allotter.go
@@ -17,7 +17,7 @@
 // # Usage
 //
 //	a := &allotter.Allotter{Self: host, Zones: 6, Tolerance: allotter.Tolerance{Overage: 0.1, Slack: 20}}
-//	a.Update(peers, quotas, now) // periodically
+//	a.Update(members, quotas, now) // periodically
 //	for _, grantor := range a.Grantors(organisation) { /* ask */ }
 //	answer := a.Grant(organisation, now) // on the grantor
 //	a.Return(organisation, now)          // a credit that was not used
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/endiverun/endiverun/core"
+	"github.com/endiverun/endiverun/core/roster"
 )
 
 const (
@@ -55,14 +56,6 @@
 	Slack   float64
 }
 
-// Peer is a host as this host knows it.
-type Peer struct {
-	Host core.Host
-	// IsRegistered says that the store lists the host, and IsLive that its heartbeats arrive
-	// and that it serves clients.
-	IsRegistered, IsLive bool
-}
-
 // Answer is the answer of a host to a request for a credit.
 type Answer struct {
 	// IsGranted says that one request of the organisation may be sent.
@@ -86,10 +79,10 @@
 	Tolerance Tolerance
 
 	mu sync.Mutex
-	// live holds the live hosts by zone, and zones the zones that have any, the nearest first.
+	// live holds the ready hosts by zone, and zones the zones that have any, the nearest first.
 	live      map[core.ZoneName][]core.Host
 	zones     []core.Zone
-	peers     []Peer
+	members   []roster.Member
 	updatedAt time.Time
 	buckets   map[core.Organisation]*bucket
 	// grantors caches the result of Grantors until Update is called.
@@ -98,22 +91,22 @@
 
 // Update records which hosts this one knows, itself included, and the quotas of all organisations
 // that have one.
-func (a *Allotter) Update(peers []Peer, quotas map[core.Organisation]core.Quota, now time.Time) {
+func (a *Allotter) Update(members []roster.Member, quotas map[core.Organisation]core.Quota, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if now.Sub(a.updatedAt) > maxUpdateInterval {
 		a.buckets = nil
 	}
-	a.peers, a.updatedAt = peers, now
+	a.members, a.updatedAt = members, now
 	a.live, a.zones, a.grantors = map[core.ZoneName][]core.Host{}, nil, map[core.Organisation][]core.Host{}
-	for _, p := range peers {
-		if !p.IsLive {
+	for _, m := range members {
+		if !m.IsReady {
 			continue
 		}
-		if len(a.live[p.Host.Zone.Name]) == 0 {
-			a.zones = append(a.zones, p.Host.Zone)
+		if len(a.live[m.Host.Zone.Name]) == 0 {
+			a.zones = append(a.zones, m.Host.Zone)
 		}
-		a.live[p.Host.Zone.Name] = append(a.live[p.Host.Zone.Name], p.Host)
+		a.live[m.Host.Zone.Name] = append(a.live[m.Host.Zone.Name], m.Host)
 	}
 	slices.SortFunc(a.zones, a.compareDistance)
 	a.updateBuckets(quotas, now)
@@ -199,12 +192,12 @@
 	var registered []core.Host
 	live := 0
 	isFirstLive := false
-	for _, p := range a.peers {
-		if p.Host.Zone.Name != a.Self.Zone.Name || !p.IsRegistered {
+	for _, m := range a.members {
+		if m.Host.Zone.Name != a.Self.Zone.Name || !m.IsRegistered {
 			continue
 		}
-		registered = append(registered, p.Host)
-		if p.IsLive {
+		registered = append(registered, m.Host)
+		if m.IsReady {
 			live++
 		}
 	}
@@ -244,18 +237,6 @@
 	}
 }
 
-// Tokens returns the tokens in the buckets of the organisations whose credits this host grants.
-func (a *Allotter) Tokens(now time.Time) map[core.Organisation]float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	tokens := make(map[core.Organisation]float64, len(a.buckets))
-	for organisation, b := range a.buckets {
-		b.fill(now)
-		tokens[organisation] = b.tokens
-	}
-	return tokens
-}
-
 // bucket is the token bucket of one organisation in one zone.
 type bucket struct {
 	// rate is in tokens a second. A token is the right to send one request.
--- a/core/allotter/allotter_test.go
+++ b/core/allotter/allotter_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/allotter"
+	"github.com/endiverun/endiverun/core/roster"
 )
 
 // The limits of the tests: in each window, the requests that run may exceed the quota by a
@@ -111,12 +112,12 @@
 }
 
 // peersOf returns what a host knows of the fleet.
-func (f *fleet) peersOf(i int) []allotter.Peer {
+func (f *fleet) peersOf(i int) []roster.Member {
 	h := f.hosts[i]
-	var peers []allotter.Peer
+	var peers []roster.Member
 	for j, other := range f.hosts {
 		heard, ok := h.heardAt[j]
-		peers = append(peers, allotter.Peer{Host: other.host, IsRegistered: true, IsLive: i == j || ok && f.step-heard <= liveSteps})
+		peers = append(peers, roster.Member{Host: other.host, IsRegistered: true, IsReady: i == j || ok && f.step-heard <= liveSteps})
 	}
 	return peers
 }
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -7,9 +7,10 @@
 //
 //   - While there is almost room for all, it is large. A late response is better for a client
 //     than a refusal, and queues end soon.
-//   - While more is asked than fits and organisations compete for the room, the queues of all upstreams stand at whatever length is
-//     allowed, and every response is late by that. The multiple is then small, so that those
-//     requests that are sent are answered in time. The number of them stays the same.
+//   - While more is asked than fits, the queues of all upstreams stand at whatever length is
+//     allowed, and every response is late by that. Where organisations compete for the room, the
+//     multiple is then small, so that those requests that are sent are answered in time. The
+//     number of them stays the same.
 //
 // Queues stand if no request has found a short one for some time. The requests of a priority and all
 // more urgent ones count for that, so a request is refused for less urgent ones only where these are
--- a/core/authenticator/authenticator.go
+++ b/core/authenticator/authenticator.go
@@ -125,13 +125,6 @@
 	return a.version, a.confirmedAt, a.isConfirmed
 }
 
-// SetMaxAge changes MaxAge.
-func (a *Authenticator) SetMaxAge(limit time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.MaxAge = limit
-}
-
 // Check returns the organisation to which a request with the credentials belongs by the policy,
 // nil where requests need no key.
 func (a *Authenticator) Check(
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -93,6 +93,9 @@
 	Seeds []string
 	// SnapshotAddress returns the address at which another host serves its snapshot.
 	SnapshotAddress func(host core.Host) string
+	// LastPeerPort is the last UDP port for other hosts, of those from that of Self.PeerAddress on.
+	// With only one, requests of organisations with quotas are refused.
+	LastPeerPort uint16
 	// SetReadMode is called when the host should read other parts of the store than
 	// before; the reads are those whose results the user passes to ApplyUpdate. If nil,
 	// this host always reads all. The mode at the start is ReadAll, and ReadNone if
@@ -274,13 +277,13 @@
 // SetBounds changes the bounds of a running host. RetryBudgetWindow,
 // UpstreamHeartbeatInterval and the times that this package derives from
 // MaxPropagationDelay and StabilizationTime (BatchDelay, WatchDelay, WatchTimeout and the
-// timeout for fetching a snapshot) change only with a restart.
+// timeout for fetching a snapshot) change only with a restart, and so do QuotaOverage, QuotaSlack
+// and KeyWithdrawalTime.
 func (c *Controller) SetBounds(bounds Bounds) {
 	c.retryBudget.SetLimits(bounds.RetryBudgetRatio, bounds.RetryBudgetAllowance)
 	c.pacer.SetLimit(bounds.WarmUpRateMultiplier, bounds.WarmUpBurst)
 	c.gracePeriod.Store(int64(bounds.GracePeriod))
 	c.placer.SetMaxRegionShift(bounds.MaxRegionShift)
-	c.authenticator.SetMaxAge(bounds.maxKeyAge())
 	c.roster.SetMaxHeartbeatTimeout(bounds.heartbeatTimeout())
 	c.roster.SetMaxPropagationDelay(bounds.MaxPropagationDelay)
 }
--- a/entry/controller/quotas.go
+++ b/entry/controller/quotas.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/allotter"
 	"github.com/endiverun/endiverun/entry/creditor"
 	"github.com/endiverun/endiverun/entry/logger"
@@ -15,9 +14,8 @@
 // newCreditor returns the creditor of a host whose roster exists; nil if the host has no address for
 // credits.
 func (c *Controller) newCreditor() *creditor.Creditor {
-	address, err := creditAddress(c.Self)
-	if err != nil {
-		c.Log.Event(logger.ListenFailed).Str("address", c.Self.PeerAddress).Err(err).Send()
+	address, ok := c.creditAddress()
+	if !ok {
 		return nil
 	}
 	return &creditor.Creditor{
@@ -35,14 +33,15 @@
 	}
 }
 
-// creditAddress returns the IP address and UDP port at which a host grants credits: the port after
-// that of its heartbeats. All hosts use the same ports.
-func creditAddress(host core.Host) (string, error) {
-	peer, err := netip.ParseAddrPort(host.PeerAddress)
-	if err != nil {
-		return "", err
+// creditAddress returns the IP address and UDP port at which this host grants credits: the port
+// after that of its heartbeats. All hosts use the same ports. It returns false if that is not among
+// the ports for other hosts.
+func (c *Controller) creditAddress() (string, bool) {
+	peer, err := netip.ParseAddrPort(c.Self.PeerAddress)
+	if err != nil || peer.Port() >= c.LastPeerPort {
+		return "", false
 	}
-	return netip.AddrPortFrom(peer.Addr(), peer.Port()+1).String(), nil
+	return netip.AddrPortFrom(peer.Addr(), peer.Port()+1).String(), true
 }
 
 // exchangeCredits answers other hosts that ask for credits until ctx ends. It begins with the
@@ -61,16 +60,13 @@
 	}
 }
 
-// updateGrantors tells the allotter which hosts there are.
+// updateGrantors tells the allotter which hosts and quotas there are.
 func (c *Controller) updateGrantors(now time.Time) {
-	if policy := c.policy.Load(); c.creditor == nil || policy == nil || !policy.HasOrganisations() {
+	policy := c.policy.Load()
+	if c.creditor == nil || policy == nil || !policy.HasOrganisations() {
 		return
 	}
-	var peers []allotter.Peer
-	for _, m := range c.roster.Members(now) {
-		peers = append(peers, allotter.Peer{Host: m.Host, IsRegistered: m.IsRegistered, IsLive: m.IsReady})
-	}
-	c.creditor.Allotter.Update(peers, c.policy.Load().Quotas(), now)
+	c.creditor.Allotter.Update(c.roster.Members(now), policy.Quotas(), now)
 }
 
 // countCredit counts the outcome of a call for a credit, by how near the grantor is.
--- a/entry/creditor/creditor.go
+++ b/entry/creditor/creditor.go
@@ -24,6 +24,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/allotter"
+	"github.com/endiverun/endiverun/entry/caller"
 )
 
 const (
@@ -42,8 +43,6 @@
 	minRetryAfter = 50 * time.Millisecond
 	// unavailableRetryAfter is that time if no grantor answered.
 	unavailableRetryAfter = 300 * time.Millisecond
-	// maxDatagramSize is the largest message that is read, in bytes.
-	maxDatagramSize = 1400
 )
 
 // Credit is the right to send one request.
@@ -151,7 +150,7 @@
 func (c *Creditor) Run(ctx context.Context) error {
 	listen := c.Listen
 	if listen == nil {
-		listen = listenUDP
+		listen = caller.ListenUDP
 	}
 	socket, err := listen(c.Address)
 	if err != nil {
@@ -166,32 +165,16 @@
 	return nil
 }
 
-func listenUDP(address string) (net.PacketConn, error) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
-	}
-	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(parsed))
-}
-
 // receive handles messages until the socket is closed.
 func (c *Creditor) receive(socket net.PacketConn) {
-	buffer := make([]byte, maxDatagramSize)
-	for {
-		n, from, err := socket.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	caller.ReadDatagrams(socket, func(data []byte, from net.Addr) {
 		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+		if err := cbor.Unmarshal(data, &m); err != nil {
 			c.reportError(from.String(), err)
-			continue
+			return
 		}
 		c.handle(m, from, time.Now())
-	}
+	})
 }
 
 // handle handles one message.
--- a/entry/creditor/creditor_test.go
+++ b/entry/creditor/creditor_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/allotter"
+	"github.com/endiverun/endiverun/core/roster"
 	"github.com/endiverun/endiverun/entry/creditor"
 )
 
@@ -54,7 +55,7 @@
 		group.Wait()
 	})
 	var nodes []*node
-	var peers []allotter.Peer
+	var peers []roster.Member
 	for i := range zones {
 		zone := core.Zone{Name: core.ZoneName(rune('a' + i)), Region: core.RegionName(strconv.Itoa(i / 2))}
 		ip := "127.0.0." + strconv.Itoa(i+1)
@@ -66,7 +67,7 @@
 			OnError:  func(string, error) { n.invalid.Add(1) },
 		}
 		nodes = append(nodes, n)
-		peers = append(peers, allotter.Peer{Host: host, IsRegistered: true, IsLive: true})
+		peers = append(peers, roster.Member{Host: host, IsRegistered: true, IsReady: true})
 	}
 	isSilent := map[int]bool{}
 	for _, i := range silent {
@@ -118,10 +119,10 @@
 	is.Equal(outcome.Asked, 0)
 }
 
-func peersOf(nodes []*node) []allotter.Peer {
-	var peers []allotter.Peer
+func peersOf(nodes []*node) []roster.Member {
+	var peers []roster.Member
 	for _, n := range nodes {
-		peers = append(peers, allotter.Peer{Host: n.host, IsRegistered: true, IsLive: true})
+		peers = append(peers, roster.Member{Host: n.host, IsRegistered: true, IsReady: true})
 	}
 	return peers
 }
--- a/entry/forwarder/organisation_test.go
+++ b/entry/forwarder/organisation_test.go
@@ -97,7 +97,7 @@
 	is := is.New(t)
 	u := &fakeUpstream{response: completeResponse}
 	h := newHost(t, orderRoute, u)
-	h.Authenticator.SetMaxAge(time.Second)
+	h.Authenticator.MaxAge = time.Second // before the first request
 	h.setOrganisations(4, orderRoute, guild())
 	response := h.post(t, "Authorization: Bearer k-guild")
 	is.Equal(response.StatusCode(), 503)
--- a/entry/heartbeater/confirmation.go
+++ b/entry/heartbeater/confirmation.go
@@ -4,9 +4,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/valyala/fasthttp"
-
-	"github.com/endiverun/endiverun/core"
 )
 
 // ConfirmationPath is the path under which a host tells other hosts as of when it knows which
@@ -28,21 +25,5 @@
 
 // FetchConfirmation asks the host at the address. The error is of type core.ErrPeer.
 func (f *Fetcher) FetchConfirmation(address string, timeout time.Duration) (Confirmation, error) {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + ConfirmationPath)
-	f.init.Do(f.prepare)
-	if err := f.client.DoTimeout(request, response, timeout); err != nil {
-		return Confirmation{}, core.ErrPeer.Wrap(err, "confirmation from %s", address)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return Confirmation{}, core.ErrPeer.New("confirmation from %s: status %d", address, response.StatusCode())
-	}
-	var confirmation Confirmation
-	if err := cbor.Unmarshal(response.Body(), &confirmation); err != nil {
-		return Confirmation{}, core.ErrPeer.Wrap(err, "confirmation from %s", address)
-	}
-	return confirmation, nil
+	return get[Confirmation](f, address, ConfirmationPath, timeout)
 }
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -27,13 +26,12 @@
 
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/roster"
+	"github.com/endiverun/endiverun/entry/caller"
 )
 
 const (
 	// heartbeatInterval is the time between two regular heartbeats.
 	heartbeatInterval = 500 * time.Millisecond
-	// maxDatagramSize is the largest heartbeat that is read, in bytes.
-	maxDatagramSize = 1400
 	// urgentDelay is how long each datagram of an urgent heartbeat delays the next
 	// urgent heartbeat. Changes in quick succession are then sent together.
 	urgentDelay = 5 * time.Millisecond
@@ -81,7 +79,7 @@
 func (h *Heartbeater) Run(ctx context.Context) error {
 	listen := h.Listen
 	if listen == nil {
-		listen = listenUDP
+		listen = caller.ListenUDP
 	}
 	socket, err := listen(h.Address)
 	if err != nil {
@@ -95,14 +93,6 @@
 	return err
 }
 
-func listenUDP(address string) (net.PacketConn, error) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
-	}
-	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(parsed))
-}
-
 // send sends regular heartbeats at each interval, and others on request.
 func (h *Heartbeater) send(ctx context.Context, socket net.PacketConn) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -169,31 +159,23 @@
 	}
 }
 
-// receive passes received heartbeats to the roster until the socket is closed.
+// receive handles received heartbeats until the socket is closed.
 func (h *Heartbeater) receive(socket net.PacketConn) {
-	buffer := make([]byte, maxDatagramSize)
-	for {
-		n, from, err := socket.ReadFrom(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	caller.ReadDatagrams(socket, func(data []byte, from net.Addr) {
 		var heartbeat roster.Heartbeat
-		if err := cbor.Unmarshal(buffer[:n], &heartbeat); err != nil {
+		if err := cbor.Unmarshal(data, &heartbeat); err != nil {
 			h.reportError(from.String(), err)
-			continue
+			return
 		}
 		if heartbeat.Host.Name == "" {
 			h.reportError(from.String(), core.ErrPeer.New("heartbeat without a host name"))
-			continue
+			return
 		}
 		h.Roster.RecordHeartbeat(heartbeat, time.Now())
 		if h.OnHeartbeat != nil {
 			h.OnHeartbeat(heartbeat)
 		}
-	}
+	})
 }
 
 func (h *Heartbeater) reportError(peer string, err error) {
--- a/entry/heartbeater/snapshot.go
+++ b/entry/heartbeater/snapshot.go
@@ -98,23 +98,28 @@
 // Fetch returns the parts of the snapshot of the host at the address that are newer
 // than the held revisions. The error is of type core.ErrPeer.
 func (f *Fetcher) Fetch(address string, held core.Revisions, timeout time.Duration) (replicator.Snapshot, error) {
+	return get[replicator.Snapshot](f, address, SnapshotPath+"?"+EncodeRevisions(held), timeout)
+}
+
+// get returns what another host answers at a path, decoded.
+func get[T any](f *Fetcher, address, path string, timeout time.Duration) (T, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + SnapshotPath + "?" + EncodeRevisions(held))
+	request.SetRequestURI("http://" + address + path)
 	f.init.Do(f.prepare)
+	var none, answer T
 	if err := f.client.DoTimeout(request, response, timeout); err != nil {
-		return replicator.Snapshot{}, core.ErrPeer.Wrap(err, "snapshot from %s", address)
+		return none, core.ErrPeer.Wrap(err, "%s from %s", path, address)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return replicator.Snapshot{}, core.ErrPeer.New("snapshot from %s: status %d", address, response.StatusCode())
+		return none, core.ErrPeer.New("%s from %s: status %d", path, address, response.StatusCode())
 	}
-	var snapshot replicator.Snapshot
-	if err := cbor.Unmarshal(response.Body(), &snapshot); err != nil {
-		return replicator.Snapshot{}, core.ErrPeer.Wrap(err, "snapshot from %s", address)
+	if err := cbor.Unmarshal(response.Body(), &answer); err != nil {
+		return none, core.ErrPeer.Wrap(err, "%s from %s", path, address)
 	}
-	return snapshot, nil
+	return answer, nil
 }
 
 // EncodeSnapshot returns a snapshot in the encoding that Fetch reads.
