review/6: three machines of a zone grant the same part of a quota

Cause, as far as known: a machine that starts counts itself as the only registered one of its zone, which is a majority, until it reads the list again.

--- a/review/lab-2/host.go
+++ b/review/lab-2/host.go
@@ -29,6 +29,7 @@
 	client         string
 	ready          string
 	directory      string
+	control        string
 	cmd            *exec.Cmd
 	log            *os.File
 }
@@ -52,7 +53,7 @@
 	ip := fmt.Sprintf("127.1.%d.%d", os.Getpid()%250, i+10)
 	h := &host{name: fmt.Sprintf("frontend-%s-%d", zone, i), zone: zone, ip: ip}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
-	h.client, h.ready, h.directory = at(p.client), at(p.ready), at(p.directory)
+	h.client, h.ready, h.directory, h.control = at(p.client), at(p.ready), at(p.directory), at(p.control)
 	h.settings = filepath.Join(dir, h.name+".json")
 	s := map[string]any{
 		"name": h.name, "zone": zone, "zones": zones, "client-address": h.client, "ready-address": h.ready,
@@ -65,6 +66,17 @@
 	return h
 }
 
+// rewrite changes one setting.
+func rewrite(h *host, name string, value any) {
+	b, err := os.ReadFile(h.settings)
+	check(err)
+	var s map[string]any
+	check(json.Unmarshal(b, &s))
+	s[name] = value
+	b, _ = json.MarshalIndent(s, "", " ")
+	check(os.WriteFile(h.settings, b, 0o600))
+}
+
 // start starts the process with the command of the deploy file.
 func (h *host) start() {
 	if h.log == nil {
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -38,6 +38,8 @@
 
 // event is one change, as a watch returns it.
 type event struct {
+	at      time.Time
+	name    string
 	rev     uint64
 	kind    string
 	object  json.RawMessage
@@ -61,10 +63,8 @@
 	events  []event
 	changed chan struct{}
 	gates   map[string]gate
-	// era is sent in Store-Era if it is not empty.
-	era string
-	// onList is told of each answered list or watch of a kind.
-	onRead func(machine, kind string, rev uint64)
+	// lag is how old the answers to reads with serializable=1 are.
+	lag time.Duration
 }
 
 func newStore() *store {
@@ -125,7 +125,7 @@
 		s.kinds[kind][name] = o
 	}
 	o.rev, o.spec, o.status = s.rev, spec, status
-	s.note(event{s.rev, kind, o.json(), false})
+	s.note(event{time.Now(), name, s.rev, kind, o.json(), false})
 	return s.rev
 }
 
@@ -136,7 +136,7 @@
 	}
 	delete(s.kinds[kind], name)
 	s.rev++
-	s.note(event{s.rev, kind, o.json(), true})
+	s.note(event{time.Now(), name, s.rev, kind, o.json(), true})
 	return s.rev
 }
 
@@ -157,9 +157,6 @@
 		return
 	}
 	time.Sleep(4 * time.Millisecond)
-	if s.era != "" {
-		w.Header().Set("Store-Era", s.era)
-	}
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	if len(parts) < 2 || parts[0] != "objects" {
 		w.WriteHeader(404)
@@ -169,6 +166,10 @@
 	if len(parts) > 2 {
 		name = parts[2]
 	}
+	if r.Method == "GET" && name == "" && s.lag > 0 && r.URL.Query().Get("serializable") == "1" {
+		s.readStale(kind, w, r)
+		return
+	}
 	if r.Method == "GET" && name == "" {
 		s.read(machine, kind, w, r)
 		return
@@ -266,8 +267,59 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
-	if s.onRead != nil {
-		s.onRead(machine, kind, out["current_rev"].(uint64))
+}
+
+// readStale answers a list or a watch with what was true s.lag ago.
+func (s *store) readStale(kind string, w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	ms, _ := strconv.Atoi(q.Get("wait_ms"))
+	after, _ := strconv.ParseUint(q.Get("watch"), 10, 64)
+	for end := time.Now().Add(time.Duration(ms) * time.Millisecond); ; time.Sleep(20 * time.Millisecond) {
+		limit := time.Now().Add(-s.lag)
+		rev := uint64(10)
+		items := map[string]json.RawMessage{}
+		events := []map[string]any{}
+		s.mu.Lock()
+		for _, e := range s.events {
+			if e.at.After(limit) {
+				break
+			}
+			rev = e.rev
+			if e.kind != kind {
+				continue
+			}
+			if items[e.name] = e.object; e.removed {
+				delete(items, e.name)
+			}
+			if e.rev > after {
+				events = append(events, map[string]any{"object": e.object, "removed": e.removed})
+			}
+		}
+		s.mu.Unlock()
+		isWatch := q.Get("watch") != ""
+		if isWatch && len(events) == 0 && time.Now().Before(end) && r.Context().Err() == nil {
+			continue
+		}
+		out := map[string]any{"current_rev": rev}
+		if isWatch {
+			out["events"], out["current_rev"] = events, max(rev, after)
+		} else {
+			names := []string{}
+			for n := range items {
+				names = append(names, n)
+			}
+			sort.Strings(names)
+			list := []json.RawMessage{}
+			for _, n := range names {
+				if n > q.Get("after") {
+					list = append(list, items[n])
+				}
+			}
+			out["items"], out["has_more"] = list, false
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+		return
 	}
 }
 
