--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/platform ] && [ -x target/review-lab-2 ] || exit 2
-RECORD="$here/record.txt" TROUBLE="${TROUBLE:-1}" exec target/review-lab-2 directory
+RECORD="$here/record.txt" TROUBLE="${TROUBLE:-1}" exec target/review-lab-2 revoke
--- a/review/lab-2/quota.go
+++ b/review/lab-2/quota.go
@@ -89,7 +89,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				client := &hotClient{}
+				client := &hotClient{key: "key-of-hot"}
 				for time.Since(start) < runFor {
 					var near, region []*host
 					for i, h := range hosts {
@@ -181,6 +181,7 @@
 
 // hotClient keeps one connection.
 type hotClient struct {
+	key     string
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -200,7 +201,7 @@
 		c.address, c.conn, c.reader = address, conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, _ = fmt.Fprintf(c.conn, "GET /x/%s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer key-of-hot\r\n\r\n", id, id)
+	_, _ = fmt.Fprintf(c.conn, "GET /x/%s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer %s\r\n\r\n", id, id, c.key)
 	r, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		_ = c.conn.Close()
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -65,10 +65,12 @@
 	gates   map[string]gate
 	// lag is how old the answers to reads with serializable=1 are.
 	lag time.Duration
+	// era is named in all answers, in Store-Era; it rises by one with each restore.
+	era int
 }
 
 func newStore() *store {
-	return &store{rev: 10, kinds: map[string]map[string]*object{}, changed: make(chan struct{}), gates: map[string]gate{}}
+	return &store{rev: 10, era: 3, kinds: map[string]map[string]*object{}, changed: make(chan struct{}), gates: map[string]gate{}}
 }
 
 // setGate changes how the store treats the machines.
@@ -157,6 +159,10 @@
 		return
 	}
 	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	if len(parts) < 2 || parts[0] != "objects" {
 		w.WriteHeader(404)
@@ -234,8 +240,19 @@
 		ms, _ := strconv.Atoi(q.Get("wait_ms"))
 		end := time.NewTimer(time.Duration(ms) * time.Millisecond)
 		defer end.Stop()
+		s.mu.Lock()
+		era, isUnknown := s.era, after > s.rev
+		s.mu.Unlock()
+		if isUnknown {
+			w.WriteHeader(410)
+			return
+		}
 		for waiting := true; waiting; {
 			s.mu.Lock()
+			if s.era != era {
+				s.mu.Unlock()
+				panic(http.ErrAbortHandler) // The store was restored: its old connections end.
+			}
 			events := []map[string]any{}
 			for _, e := range s.events {
 				if e.rev > after && e.kind == kind {
@@ -323,6 +340,42 @@
 	}
 }
 
+// restore brings the store back from a copy: what was written since is lost, revisions are given
+// out again, and the era rises.
+func (s *store) restore(copied time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := []event{}
+	s.kinds, s.rev = map[string]map[string]*object{}, 10
+	for _, e := range s.events {
+		if e.at.After(copied) {
+			break
+		}
+		kept = append(kept, e)
+		s.rev = e.rev
+		if s.kinds[e.kind] == nil {
+			s.kinds[e.kind] = map[string]*object{}
+		}
+		if e.removed {
+			delete(s.kinds[e.kind], e.name)
+			continue
+		}
+		var in struct {
+			Metadata struct {
+				Created uint64 `json:"created_rev"`
+			} `json:"metadata"`
+			Spec   json.RawMessage `json:"spec"`
+			Status json.RawMessage `json:"status"`
+		}
+		_ = json.Unmarshal(e.object, &in)
+		s.kinds[e.kind][e.name] = &object{name: e.name, rev: e.rev, created: in.Metadata.Created, spec: in.Spec, status: in.Status}
+	}
+	s.events = kept
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func check(err error) {
 	if err != nil {
 		panic(fmt.Sprint("the case could not run: ", err))
