Ask the store for its lists in place of what other hosts retained

Cause: a host whose reads fail fetches a list from another host, with the upstreams that the other one retains after the outage, and marks it. Its own next watch yields a delta. The result of merging that into the marked list had no mark, so that the retained upstreams became part of the host's list; no later delta names them. A host that reads again does not fetch either, so that without a change the marked list stayed too.

Each host whose list differed had fetched a list with may-include-expired shortly before and had applied its own delta to it; ten of the others, at the same revision, had not, and one that fetched an unmarked list afterwards agreed again. Ruled out: a removal that never arrives (all hosts reached the same revisions), and the host's own grace period (its list was not marked).

Fix: a delta keeps the marks of the list that it is merged into. While a host that reads the store holds a marked list beyond the time in which it may differ from the store, it renews its watches, and a renewed watch passes on all objects that the watcher holds. That costs one call for each kind and no list. The same holds for what hosts corrected after a restore of the store, upstreams and evacuated zones. A renewal that fell between two calls of a watcher was lost before; now the next watch counts as renewed.

--- a/core/replicator/delta.go
+++ b/core/replicator/delta.go
@@ -194,7 +194,9 @@
 }
 
 // applyTo returns the full list that results from applying the update to the held
-// list. It returns false where the held list is older than the base of the update.
+// list. It returns false where the held list is older than the base of the update. A delta
+// does not tell what another host retained or corrected in the held list, so that list's
+// marks stay.
 func (u *Upstreams) applyTo(held *Upstreams, now time.Time) (*Upstreams, bool) {
 	list := slices.Clone(u.List)
 	for i := range list {
@@ -212,5 +214,7 @@
 	}
 	removed := slices.Sorted(slices.Values(u.Removed))
 	full.List = merge(held.List, list, removed)
+	full.MayIncludeExpired = full.MayIncludeExpired || held.MayIncludeExpired
+	full.IsSettling = full.IsSettling || held.IsSettling
 	return full, true
 }
--- a/core/replicator/delta_test.go
+++ b/core/replicator/delta_test.go
@@ -323,3 +323,33 @@
 	follower.ApplyUpdate(reader.ChangesSince(follower.Snapshot().Revisions(), recovery), recovery)
 	is.Equal(names(follower), []string{"a", "b"})
 }
+
+// TestDeltaKeepsMarks guards against a host that takes a list for the store's own although another
+// host retained or corrected upstreams in it: a delta from the store names none of them, so only a
+// full list ends the difference.
+func TestDeltaKeepsMarks(t *testing.T) {
+	for name, mark := range map[string]func(u *replicator.Upstreams){
+		"retained":  func(u *replicator.Upstreams) { u.MayIncludeExpired = true },
+		"corrected": func(u *replicator.Upstreams) { u.IsSettling = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &replicator.Replicator{}
+			r.ApplyUpdate(upstreams(60, "a", "b"), start)
+			is.True(!r.LacksStoreLists(start))
+			fetched := upstreams(61, "a", "b", "left")
+			mark(fetched.Upstreams)
+			fetched.Knowledge = &replicator.Knowledge{IsSettling: fetched.Upstreams.IsSettling}
+			r.ApplyUpdate(fetched, start)
+			delta := upstreams(62, "c")
+			delta.Upstreams.BaseRevision = 60
+			r.ApplyUpdate(delta, start)
+			later := start.Add(10 * time.Second)
+			settle(r, later)
+			is.True(r.LacksStoreLists(later))
+			r.ApplyUpdate(upstreams(62, "a", "b", "c"), later)
+			is.Equal(names(r), []string{"a", "b", "c"})
+			is.True(!r.LacksStoreLists(later))
+		})
+	}
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -38,6 +38,7 @@
 //	r.ApplyUpdate(replicator.Snapshot{Upstreams: &list}, now)
 //	r.ConfirmUpstreams(era, now) // after each answer about upstreams
 //	r.Settle(now) // periodically
+//	if r.LacksStoreLists(now) { /* read the store's full lists */ }
 //	snapshot := r.Snapshot()
 //
 // Lock order: Replicator.mu is held while OnChange runs, so OnChange may take
@@ -345,3 +346,21 @@
 	}
 	r.notify(changed, now)
 }
+
+// LacksStoreLists reports whether the copy was given a list in which another host retained or
+// corrected entries, and there is no more reason to differ from the store's. Deltas do not tell
+// which entries these are: only a full list that was read from the store, or that another host
+// no longer changes, does.
+func (r *Replicator) LacksStoreLists(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, e, mayHaveExpired := r.listed.Upstreams, r.listed.Evacuations, r.mayHaveExpired(now)
+	switch {
+	case u != nil && u.MayIncludeExpired && !mayHaveExpired:
+		return true
+	case u != nil && u.IsSettling && !r.restoration.isSettling():
+		return true
+	default:
+		return e != nil && e.IsSettling && !mayHaveExpired
+	}
+}
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -103,8 +103,9 @@
 	SetReadMode func(reading ReadMode)
 	// PingStore probes the store with a cheap call; nil disables the probes.
 	PingStore func() error
-	// RenewWatches makes the user repeat its pending watches of the store; it may be nil.
-	// It is called when the store responds again after failed calls.
+	// RenewWatches makes the user repeat its pending watches of the store and then apply the
+	// full lists; it may be nil. It is called when the store responds again after failed calls,
+	// and when the host holds lists of other hosts that differ from the store's.
 	RenewWatches func()
 	// OnStoreRestored is called once for each later era of the store that the host learns of
 	// after its first lists, from the store or from another host. What this host wrote to the
@@ -149,8 +150,10 @@
 	storeStatus storeStatus
 	// confirmationAsked is when confirmWithReader, which alone uses it, called last.
 	confirmationAsked core.Uptime
-	coldUpstreams     coldUpstreams
-	healthChecker     healthChecker
+	// listsRequested is when requestStoreLists, which alone uses it, last did so.
+	listsRequested time.Time
+	coldUpstreams  coldUpstreams
+	healthChecker  healthChecker
 	// urgentHeartbeat requests a heartbeat to many hosts at once.
 	urgentHeartbeat chan struct{}
 	// zoneHeartbeat requests a heartbeat to the other hosts in the host's own zone.
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -9,6 +9,7 @@
 	"github.com/endiverun/endiverun/core"
 	"github.com/endiverun/endiverun/core/replicator"
 	"github.com/endiverun/endiverun/core/roster"
+	"github.com/endiverun/endiverun/entry/caller"
 	"github.com/endiverun/endiverun/entry/heartbeater"
 	"github.com/endiverun/endiverun/entry/logger"
 	"github.com/endiverun/endiverun/entry/waiter"
@@ -74,7 +75,8 @@
 	}
 	if u := changed.Upstreams; u != nil {
 		c.placer.SetUpstreams(u.List, now)
-		c.Log.Event(logger.UpstreamsApplied).Uint64("revision", u.Revision).Int("upstreams", len(u.List)).Send()
+		c.Log.Event(logger.UpstreamsApplied).Uint64("revision", u.Revision).Int("upstreams", len(u.List)).
+			Bool("may-include-expired", u.MayIncludeExpired).Bool("settling", u.IsSettling).Send()
 	}
 	if h := changed.Hosts; h != nil {
 		c.roster.SetRegistrations(h.List, now)
@@ -135,6 +137,7 @@
 		c.placer.ForgetOldLimits(now)
 		c.reportEndedPauses(now)
 		c.fetchFromPeers(now)
+		c.requestStoreLists(now)
 	})
 }
 
@@ -181,10 +184,40 @@
 			c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 			continue
 		}
+		c.recordFetched(address, update)
 		c.replicator.ApplyUpdate(update, time.Now())
 	}
 }
 
+// recordFetched logs what the host learns from another one.
+func (c *Controller) recordFetched(address string, update replicator.Snapshot) {
+	line := c.Log.Event(logger.SnapshotFetched).Str("peer", address).Uint64("policy", update.Revisions().Policy)
+	if u := update.Upstreams; u != nil {
+		line = line.Uint64("revision", u.Revision).Uint64("base", u.BaseRevision).
+			Bool("may-include-expired", u.MayIncludeExpired).Bool("settling", u.IsSettling)
+	}
+	line.Send()
+}
+
+// listsRequestInterval is the time between two requests of the store's lists. It leaves the store
+// the time of a call, which a further request would abandon.
+const listsRequestInterval = caller.StoreTimeout
+
+// requestStoreLists asks the store for its lists if the host reads it again but still holds what
+// another host retained or corrected. No later change of the store need name these entries.
+func (c *Controller) requestStoreLists(now time.Time) {
+	isReading := c.currentReadMode() == ReadAll && c.storeStatus.isSnapshotCurrent(now)
+	if c.RenewWatches == nil || !isReading || !c.replicator.LacksStoreLists(now) {
+		return
+	}
+	if now.Sub(c.listsRequested) < listsRequestInterval {
+		return
+	}
+	c.listsRequested = now
+	c.Log.Event(logger.StoreListsRequested).Send()
+	c.RenewWatches()
+}
+
 // learnFromPeers fetches what other hosts knew before a restore of the store, where this host
 // may know less: from the seeds when the host starts, and else from hosts that say that they
 // know.
@@ -250,6 +283,7 @@
 		c.Log.Event(logger.PeerSilent).Str("peer", address).Err(err).Send()
 		return false
 	}
+	c.recordFetched(address, update)
 	c.replicator.ApplyUpdate(update, time.Now())
 	return true
 }
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -74,6 +74,8 @@
 	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
 	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
+	StoreListsRequested = Event{310, "store-lists-requested", zerolog.InfoLevel, "The host asks the store for lists that it has from other hosts."}
+
 	StoreAnswerRejected = Event{309, "store-answer-rejected", zerolog.WarnLevel, "The store sent bytes that are no valid response."}
 
 	PeerSilent   = Event{400, "peer-silent", zerolog.WarnLevel, "Another host did not respond; the connection to it was replaced."}
@@ -81,6 +83,8 @@
 	PeerExpired  = Event{402, "peer-expired", zerolog.WarnLevel, "No heartbeat arrived from another host within the expiry time."}
 	PeerFound    = Event{403, "peer-found", zerolog.InfoLevel, "Another host is live."}
 
+	SnapshotFetched = Event{404, "snapshot-fetched", zerolog.InfoLevel, "The host fetched the snapshot of a host that it does not follow."}
+
 	UpstreamLeaving        = Event{500, "upstream-leaving", zerolog.InfoLevel, "An owned upstream is leaving and gets no new requests."}
 	UpstreamAnswerRejected = Event{501, "upstream-answer-rejected", zerolog.WarnLevel, "A response was unusable; its connection is closed."}
 	RequestOutcomeUnknown  = Event{502, "request-outcome-unknown", zerolog.WarnLevel, "It is unknown whether an upstream ran a request."}
@@ -134,8 +138,8 @@
 	HostStarted, HostReady, HostLeaving, HostStopped, HostStopTimeout,
 	TicketApplied, TicketAccepted, TicketConflict, TicketUnreadable, SnapshotWritten,
 	PlatformLost, PlatformFound, SlotTaken, SlotLost, ReaderFollowed, StoreRead, StoreReadFailed, StoreRestored, EraUnreadable,
-	StoreAnswerRejected,
-	PeerSilent, PeerRejected, PeerExpired, PeerFound,
+	StoreListsRequested, StoreAnswerRejected,
+	PeerSilent, PeerRejected, PeerExpired, PeerFound, SnapshotFetched,
 	UpstreamLeaving, UpstreamAnswerRejected, RequestOutcomeUnknown,
 	RequestRetried, RequestRefused, RequestCut, UpstreamFailed,
 	UpstreamUnreadable, UpstreamsApplied, EvacuationsApplied,
--- a/entry/watcher/gate.go
+++ b/entry/watcher/gate.go
@@ -32,31 +32,34 @@
 	// resumed is closed when the watchers are enabled again; nil while they are
 	// enabled.
 	resumed chan struct{}
-	// renewed is closed when the pending watches are to be renewed; nil if no watcher
-	// has asked for it since.
-	renewed chan struct{}
+	// renewals counts the calls of RenewWatches. renewed is closed by the next one; nil if no
+	// watcher has asked for it since.
+	renewals int
+	renewed  chan struct{}
 }
 
-// RenewWatches makes the watchers abandon their pending watches and ask for the changes
-// at once. Call it when the store responds again after failed calls: a response that was
-// due in between may be lost, and its connection can stay open without it.
+// RenewWatches makes the watchers abandon their pending watches, ask for the changes at once
+// and then pass on all objects. Call it when the store responds again after failed calls: a
+// response that was due in between may be lost, and its connection can stay open without it.
+// Call it also when the user needs all objects.
 func (g *CircuitBreaker) RenewWatches() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.renewals++
 	if g.renewed != nil {
 		close(g.renewed)
 		g.renewed = nil
 	}
 }
 
-// renewal returns a channel that the next call of RenewWatches closes.
-func (g *CircuitBreaker) renewal() <-chan struct{} {
+// renewal returns the number of calls of RenewWatches, and a channel that the next one closes.
+func (g *CircuitBreaker) renewal() (int, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.renewed == nil {
 		g.renewed = make(chan struct{})
 	}
-	return g.renewed
+	return g.renewals, g.renewed
 }
 
 // SetEnabled allows or forbids new calls of the watchers, whether the store fails or not.
--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -92,12 +92,12 @@
 	// time the user may find that another host watches the store on its behalf, and
 	// disable the Breaker. BatchDelay applies if WatchDelay is nil or returns less.
 	WatchDelay func() time.Duration
-	// OnSnapshot gets all objects of the kind after each list and each watch with
-	// changes, with the revision of the store that they reflect. The watcher modifies
-	// the map later, so copy it to keep it.
+	// OnSnapshot gets all objects of the kind after each list, each watch with changes and
+	// each renewed watch, with the revision of the store that they reflect. The watcher
+	// modifies the map later, so copy it to keep it.
 	OnSnapshot func(list List[T])
-	// OnDelta, if set, is called in place of OnSnapshot after a watch, with the changes
-	// made after the revision that was passed on last. OnSnapshot then gets only lists.
+	// OnDelta, if set, is called in place of OnSnapshot after a watch that was not renewed,
+	// with the changes made after the revision that was passed on last.
 	OnDelta func(after uint64, changes Changes[T])
 	// Breaker is shared by the watchers of one store. If it is nil, Run creates one for
 	// this watcher alone.
@@ -116,8 +116,10 @@
 	revision uint64
 	// era is the era of the store to which revision belongs.
 	era core.Era
-	// isRenewing says that the last watch was abandoned. The next one must not wait, so
-	// that the store confirms at once that it still responds.
+	// renewals is the number of renewals at the last call. isRenewing says that the watches
+	// were renewed since the last response. The next one must not wait, so that the store
+	// confirms at once that it still responds.
+	renewals   int
 	isRenewing bool
 	// delivered is the revision last passed to OnSnapshot or OnDelta. revision may
 	// be later, since the store's revision also counts changes of other kinds.
@@ -176,7 +178,9 @@
 // poll makes one call: a list if the watcher has no objects of the latest era, else a watch.
 func (w *Watcher[T]) poll() error {
 	// This precedes the check of the era, so that a rise after the check ends the watch.
-	renewed := w.Breaker.renewal()
+	renewals, renewed := w.Breaker.renewal()
+	w.isRenewing = w.isRenewing || renewals != w.renewals
+	w.renewals = renewals
 	if w.objects == nil || w.isEraOver() {
 		return w.listAll()
 	}
@@ -189,6 +193,8 @@
 		return core.ErrHistoryGone.New("watch after revision %d of era %d, response of era %d", w.revision, w.era, changes.Era)
 	}
 	defer func() { w.confirm(w.answeredAsOf(sentAt, wait, len(changes.List) > 0)) }()
+	isRenewed := w.isRenewing
+	w.isRenewing = false
 	w.revision = changes.Revision
 	for _, c := range changes.List {
 		if c.IsRemoved {
@@ -198,6 +204,9 @@
 		w.objects[c.Name] = c.Object
 	}
 	switch {
+	case isRenewed:
+		// The user may hold other objects from elsewhere, which these replace.
+		w.OnSnapshot(List[T]{Objects: w.objects, Revision: w.revision, Era: w.era})
 	case len(changes.List) == 0:
 		return nil
 	case w.OnDelta != nil:
@@ -246,7 +255,6 @@
 // nextWait returns how long the next watch waits.
 func (w *Watcher[T]) nextWait() time.Duration {
 	if w.isRenewing {
-		w.isRenewing = false
 		return renewalWait
 	}
 	return w.WatchTimeout
@@ -269,7 +277,6 @@
 	case <-received:
 		return changes, err
 	case <-renewed:
-		w.isRenewing = true
 		return Changes[T]{}, errAbandoned.New("renewed")
 	}
 }
--- a/entry/watcher/watcher_test.go
+++ b/entry/watcher/watcher_test.go
@@ -288,6 +288,37 @@
 	})
 }
 
+// TestRenewalPassesOnAllObjects guards against a user that replaced its objects by those of
+// another host and gets only later changes: after a renewal it gets all objects, whether a watch
+// was pending or the watcher paused between two calls.
+func TestRenewalPassesOnAllObjects(t *testing.T) {
+	for name, renewAt := range map[string]time.Duration{"watch pending": 1500 * time.Millisecond, "between calls": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				breaker := &CircuitBreaker{}
+				var snapshots, deltas atomic.Int32
+				w := (&failingStore{}).watcher(breaker)
+				w.BatchDelay = time.Second
+				w.OnSnapshot = func(List[int]) { snapshots.Add(1) }
+				w.OnDelta = func(uint64, Changes[int]) { deltas.Add(1) }
+				var group conc.WaitGroup
+				group.Go(func() { w.Run(ctx) })
+				time.Sleep(renewAt)
+				breaker.RenewWatches()
+				time.Sleep(10 * time.Second)
+				after := snapshots.Load()
+				stop()
+				time.Sleep(2 * time.Minute)
+				group.Wait()
+				is.Equal(after, int32(2)) // the first list, and the renewal
+				is.Equal(deltas.Load(), int32(0))
+			})
+		})
+	}
+}
+
 // TestProbeIsAList guards against a probe of a failing store that the store may hold open:
 // the other watchers wait for its result, so a watcher that still has its objects must
 // list them instead of watching them.
