Let a restored store confirm no keys until it is written again

Cause: the host took the store's answer for a proof that its policy is the newest. A restored store does not know which versions it has lost. The hosts that had the later version were safe only because a version never goes back on a host.

Ruled out: a copy of another host (none had version 3), and waiting for seeds as a bound (they may be down).

Fix: the authenticator knows the era of the store, and the store's word confirms nothing until hosts have known the era for 3 s, in which the operator writes again. What was confirmed before the restore lasts as long as without it. A host that waits asks other hosts, or the seeds while it knows none, for what they know and since when they know the era; so a start long after a restore waits for one answer. Every host is bound in this way, so the same cause is gone for a host that was cut off and missed the withdrawal, and for one of which no host had heard.

The price: after a restore, requests with keys get 503 on all hosts from nine tenths of the bound after the last confirmation until 3 s after the return. Deployments in force have a store that names no era; nothing changes there.

--- a/core/authenticator/authenticator.go
+++ b/core/authenticator/authenticator.go
@@ -7,14 +7,20 @@
 // key once that was too long ago. It decides anew before each attempt, since a request may wait
 // for a long time.
 //
+// The store itself may come back from an older copy, in a later era (see core.Era). Until the
+// operator has written again what that copy lacks, the store does not know the newest policy, so
+// its word counts for nothing: neither on a host that has just started nor on one that missed the
+// last change. What hosts knew before the restore counts on, and they tell each other.
+//
 // Why the bound holds: a policy without the key was acknowledged at time w, and this host does
 // not know of it. Its policy was then confirmed as of a time before w, and it accepts keys until
 // MaxAge after that time. A request that is accepted was sent before, so at most MaxAge after w.
 //
 // # Usage
 //
-//	a := &authenticator.Authenticator{MaxAge: 4 * time.Second}
-//	a.Confirm(version, asOf) // when the newest version is known to be this one
+//	a := &authenticator.Authenticator{MaxAge: 4 * time.Second, RewriteTime: 3 * time.Second}
+//	a.ConfirmByStore(version, era, asOf, now) // when the store names the newest version
+//	a.Confirm(version, asOf)                  // when another host does
 //	organisation, verdict := a.Check(policy, route, authenticator.ParseCredentials(fields), now)
 package authenticator
 
@@ -99,18 +105,30 @@
 	// MaxAge is the time after which a policy that is no longer known to be the newest does
 	// not vouch for keys; 0 means that it always does.
 	MaxAge time.Duration
+	// RewriteTime is the time after the beginning of an era of the store within which the
+	// operator writes again what the store has lost.
+	RewriteTime time.Duration
+	// IsFirstStart says that the whole fleet starts for the first time, so that the store has
+	// lost nothing in the era in which this host first reads it.
+	IsFirstStart bool
 
 	mu          sync.Mutex
 	version     uint64
 	isConfirmed bool
 	confirmedAt core.Uptime
+	era         storeEra
 }
 
-// Confirm records that the newest policy had the given version as of a time. It counts for all
-// policies of that version or a later one.
+// Confirm records that the newest policy had the given version as of a time, by the word of
+// another host. It counts for all policies of that version or a later one.
 func (a *Authenticator) Confirm(version uint64, asOf core.Uptime) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.confirm(version, asOf)
+}
+
+// confirm is Confirm. The caller holds Authenticator.mu.
+func (a *Authenticator) confirm(version uint64, asOf core.Uptime) {
 	if a.isConfirmed && asOf <= a.confirmedAt {
 		return
 	}
--- a/core/authenticator/authenticator_test.go
+++ b/core/authenticator/authenticator_test.go
@@ -12,7 +12,10 @@
 	"github.com/endiverun/endiverun/core/authenticator"
 )
 
-const maxAge = 4 * time.Second
+const (
+	maxAge      = 4 * time.Second
+	rewriteTime = 3 * time.Second
+)
 
 func newPolicy(version uint64, hasUnreadable bool, organisations ...core.OrganisationPolicy) *core.RoutingPolicy {
 	return core.NewRoutingPolicy(version, nil, nil, core.ClientLimits{}).WithOrganisations(organisations, hasUnreadable)
@@ -130,7 +133,9 @@
 
 // TestWithdrawnKeyEndsInTime plays random sequences in which a key is withdrawn and given back,
 // hosts read the store or ask one another, answers take long, hosts are frozen in between, start
-// anew and take over a copy. No host may accept the key later than maxAge after its withdrawal.
+// anew and take over a copy, and the store comes back from older copies, into which the operator
+// writes the newest policy again. No host may accept the key later than maxAge after its
+// withdrawal.
 func TestWithdrawnKeyEndsInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 3
@@ -139,8 +144,10 @@
 		policies := map[uint64]*core.RoutingPolicy{1: newPolicy(1, false, guild("k1"))}
 		isHeld := true
 		var withdrawnAt core.Uptime
+		// stored is the version in the store, which is written again at rewriteAt.
+		stored, era, rewriteAt := version, core.Era(rapid.IntRange(0, 1).Draw(t, "era")), now
 		newHost := func() *fakeHost {
-			return &fakeHost{authenticator: &authenticator.Authenticator{MaxAge: maxAge}}
+			return &fakeHost{authenticator: &authenticator.Authenticator{MaxAge: maxAge, RewriteTime: rewriteTime}}
 		}
 		list := make([]*fakeHost, hosts)
 		for i := range list {
@@ -156,6 +163,7 @@
 			"time passes": func(*rapid.T) { wait() },
 			"the key is withdrawn or given back": func(*rapid.T) {
 				version++
+				stored = version
 				isHeld = !isHeld
 				policies[version] = newPolicy(version, false, guild())
 				if isHeld {
@@ -165,20 +173,31 @@
 				}
 			},
 			"a host reads the store": func(*rapid.T) {
-				h, sent, read := drawHost(), now, version
+				if now >= rewriteAt {
+					stored = version
+				}
+				h, sent, read, readEra := drawHost(), now, stored, era
 				wait()
 				adopt(h, read)
-				h.authenticator.Confirm(read, sent)
+				h.authenticator.ConfirmByStore(read, readEra, sent, now)
+			},
+			"the store is restored": func(*rapid.T) {
+				era++
+				stored = uint64(rapid.IntRange(1, int(version)).Draw(t, "copy"))
+				rewriteAt = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "rewrite")) * time.Millisecond)
 			},
 			"a host asks another": func(*rapid.T) {
 				h, other, sent := drawHost(), drawHost(), now
 				wait()
 				known, asOf, ok := other.authenticator.Confirmed()
 				age := now.Sub(asOf)
+				otherEra, enteredAt := other.authenticator.Era()
+				eraAge := now.Sub(enteredAt)
 				wait()
 				if ok {
 					h.authenticator.Confirm(known, sent.Add(-age))
 				}
+				h.authenticator.RecordEra(otherEra, sent.Add(-eraAge))
 			},
 			"a host takes over a copy": func(*rapid.T) { adopt(drawHost(), drawHost().policy) },
 			"a host starts anew": func(*rapid.T) {
--- a/core/replicator/knowledge.go
+++ b/core/replicator/knowledge.go
@@ -135,7 +135,7 @@
 	k := &Knowledge{
 		IsSettling:     true,
 		Remaining:      core.MillisecondsOf(settleTime(r.heartbeat())),
-		RemainingGrace: core.MillisecondsOf(restoreGrace),
+		RemainingGrace: core.MillisecondsOf(RestoreGrace),
 		Ended:          update.Knowledge.Ended,
 	}
 	if e := update.Evacuations; e != nil {
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -29,8 +29,8 @@
 //
 //	after       for                             difference
 //	an outage   expiryGrace                     many missing upstreams are retained
-//	a restore   restoreGrace                    missing upstreams and zones are retained
-//	a restore   3 heartbeats and restoreGrace   upstreams stay removed, draining or cold
+//	a restore   RestoreGrace                    missing upstreams and zones are retained
+//	a restore   3 heartbeats and RestoreGrace   upstreams stay removed, draining or cold
 //
 // # Usage
 //
--- a/core/replicator/restore.go
+++ b/core/replicator/restore.go
@@ -7,10 +7,10 @@
 	"github.com/endiverun/endiverun/core"
 )
 
-// restoreGrace is the time after a restore of the store for which missing upstreams and
+// RestoreGrace is the time after a restore of the store for which missing upstreams and
 // evacuated zones are retained. Most of the copy may be affected, so the time includes a second
 // for reading what is written again within expiryGrace, and for passing it on to followers.
-const restoreGrace = expiryGrace + time.Second
+const RestoreGrace = expiryGrace + time.Second
 
 // expiryHeartbeats is the number of heartbeats after which the store removes the entry of a
 // silent upstream.
@@ -44,7 +44,7 @@
 func newRestoration(copied Snapshot, removed removals, heartbeat time.Duration, now time.Time) restoration {
 	s := restoration{
 		removed:    removed.incarnations(),
-		graceUntil: now.Add(restoreGrace),
+		graceUntil: now.Add(RestoreGrace),
 		settledAt:  now.Add(settleTime(heartbeat)),
 	}
 	if u := copied.Upstreams; u != nil {
@@ -59,7 +59,7 @@
 // settleTime returns the time after a restore for which the store may list upstreams in an
 // older state.
 func settleTime(heartbeat time.Duration) time.Duration {
-	return expiryHeartbeats*heartbeat + restoreGrace
+	return expiryHeartbeats*heartbeat + RestoreGrace
 }
 
 // join makes a copy that was not restored keep what a settling list of another host says
@@ -78,7 +78,7 @@
 		*s = restoration{
 			removed:    map[core.UpstreamName]core.Incarnation{},
 			zones:      slices.Clone(k.Zones),
-			graceUntil: now.Add(min(k.RemainingGrace, core.MillisecondsOf(restoreGrace)).Duration()),
+			graceUntil: now.Add(min(k.RemainingGrace, core.MillisecondsOf(RestoreGrace)).Duration()),
 			settledAt:  now.Add(min(k.Remaining, core.MillisecondsOf(settleTime(heartbeat))).Duration()),
 		}
 	}
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -188,7 +188,9 @@
 		Ratio:     c.Bounds.RetryBudgetRatio,
 		Allowance: c.Bounds.RetryBudgetAllowance,
 	}
-	c.authenticator = &authenticator.Authenticator{MaxAge: c.Bounds.maxKeyAge()}
+	c.authenticator = &authenticator.Authenticator{
+		MaxAge: c.Bounds.maxKeyAge(), RewriteTime: replicator.RestoreGrace, IsFirstStart: c.IsFirstStart,
+	}
 	c.hasOrganisations = make(chan struct{})
 	c.urgentHeartbeat = make(chan struct{}, 1)
 	c.zoneHeartbeat = make(chan struct{}, 1)
@@ -252,6 +254,7 @@
 	group.Go(func() { c.exchangeCredits(background) })
 	group.Go(func() { c.runPeriodicTasks(background) })
 	group.Go(func() { c.learnFromPeers(background) })
+	group.Go(func() { c.confirmWithPeers(background) })
 	group.Go(func() { c.preconnect(background) })
 	group.Go(func() { c.checkSuspects(background) })
 	group.Go(func() { c.checkLocalRegion(background) })
--- a/entry/heartbeater/confirmation.go
+++ b/entry/heartbeater/confirmation.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/endiverun/endiverun/core"
 )
 
 // ConfirmationPath is the path under which a host tells other hosts as of when it knows which
@@ -16,6 +18,10 @@
 	Age     time.Duration `cbor:"2,keyasint"`
 	// IsKnown is false if the host never knew; the other fields are then unset.
 	IsKnown bool `cbor:"3,keyasint"`
+	// Era is the latest era of the store of which the host has heard, 0 if the store names none,
+	// and EraAge how long ago hosts first did.
+	Era    core.Era      `cbor:"4,keyasint,omitempty"`
+	EraAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns the confirmation in the encoding that FetchConfirmation reads.
--- a/entry/logger/logger.go
+++ b/entry/logger/logger.go
@@ -74,7 +74,7 @@
 	SlotTaken       = Event{302, "slot-taken", zerolog.InfoLevel, "The host acquired a slot of its region's links to other regions."}
 	SlotLost        = Event{303, "slot-lost", zerolog.WarnLevel, "The host lost its slot and may not send to other regions."}
 
-	StoreListsRequested = Event{310, "store-lists-requested", zerolog.InfoLevel, "The host asks the store for lists that it has from other hosts."}
+	StoreListsRequested = Event{310, "store-lists-requested", zerolog.InfoLevel, "The host asks the store for lists that came from others."}
 
 	StoreAnswerRejected = Event{309, "store-answer-rejected", zerolog.WarnLevel, "The store sent bytes that are no valid response."}
 
@@ -124,6 +124,7 @@
 	PolicyApplied         = Event{600, "policy-applied", zerolog.InfoLevel, "A routing policy took effect on this host."}
 	PolicyUnreadable      = Event{601, "policy-unreadable", zerolog.ErrorLevel, "A stored policy is invalid; the previous one applies."}
 	PolicyEntryUnreadable = Event{602, "policy-entry-unreadable", zerolog.WarnLevel, "A policy entry is invalid; the other entries apply."}
+	PolicyTrusted         = Event{603, "policy-trusted", zerolog.InfoLevel, "The store's answers begin or cease to confirm keys."}
 
 	SettingsReloaded   = Event{105, "settings-reloaded", zerolog.InfoLevel, "The settings file was read again."}
 	ListenFailed       = Event{106, "listen-failed", zerolog.ErrorLevel, "The host cannot listen on one of its addresses."}
@@ -147,7 +148,7 @@
 	UpstreamLimited, UpstreamLimitUnreadable, UpstreamLimitUsed,
 	UpstreamSaidLeaving, UpstreamClosed, UpstreamPauseUnreadable, UpstreamReopened, UpstreamsDivided, UpstreamsShared,
 	UpstreamLoadUnreadable,
-	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable,
+	PolicyApplied, PolicyUnreadable, PolicyEntryUnreadable, PolicyTrusted,
 	SettingsReloaded, ListenFailed, RegistrationFailed, LinesLeftOut, HostRemoved, AcceptFailed,
 }
 
