Name hosts to clients only while their heartbeats are recent

What callers saw: in a fleet of 108 hosts, one of 104 hosts of a region and the only host of another lost power.

Cause: the time without a heartbeat after which a host counts as dead is bounded by the stated limit, and was then raised again to one and a half intervals of heartbeats, which are rare between the regions of a large fleet. And the interval was computed from the receiver's place, although it depends on how many hosts the sender has to reach.

Evidence: the dead host was named for 10.5 s, one and a half times 7 s, while the hosts of its region sent to each host of the asked region every 0.5 s. A registration would have kept it for 30 s.

Fix: the interval is the sender's. Resolve names hosts of which a heartbeat arrived within the limit, whatever the interval; all other decisions keep the longer time, so that no live host counts as dead between two heartbeats. In large regions enough of the hosts are recent for a whole list. A region with less than about a thirtieth of the fleet sends more heartbeats, so that one of its hosts is always recent, at most 64 in a period instead of 8.

Failed before: TestDirectoryInFleetsOfAnyShape on, in four of five fleets: host-0-1 is named 5.5 s after its death (limit 5.2 s and 0.2 s of cache), and a region with 30 live hosts is not named. So the test also found live hosts that were taken for dead.

--- a/core/roster/resolve.go
+++ b/core/roster/resolve.go
@@ -58,14 +58,16 @@
 	}), query.MaxAddresses)
 }
 
-// ready returns the live hosts that take requests. The caller holds Roster.mu.
+// ready returns the hosts that take requests of clients, and of which a heartbeat arrived lately.
+// The caller holds Roster.mu.
 func (r *Roster) ready(now time.Time) []core.Host {
 	var hosts []core.Host
 	if r.isReady {
 		hosts = append(hosts, r.Self)
 	}
-	for _, m := range r.live(now) {
-		if m.heartbeat.Ready {
+	s := r.schedule()
+	for _, m := range r.members {
+		if s.isNamed(m, now) {
 			hosts = append(hosts, m.host)
 		}
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -97,10 +97,10 @@
 // Roster holds one host's view of the hosts of the fleet.
 type Roster struct {
 	Self core.Host
-	// MaxHeartbeatTimeout bounds the time without a heartbeat after which a host no longer
-	// counts as live, so that Resolve omits it; 0 means that only the number of missed
-	// heartbeats counts. The time is at least one and a half intervals between heartbeats.
-	// SetMaxHeartbeatTimeout changes it.
+	// MaxHeartbeatTimeout bounds the time without a heartbeat after which Resolve omits a host
+	// and it no longer counts as live; 0 means that only the number of missed heartbeats counts.
+	// A host counts as live for at least one and a half intervals between its heartbeats, which
+	// may be longer. SetMaxHeartbeatTimeout changes it.
 	MaxHeartbeatTimeout time.Duration
 	// MaxPropagationDelay is the time within which a change in the store must take effect on
 	// every host. A zone's reader that last reached the store longer ago than 0.6 times
--- a/core/roster/targets.go
+++ b/core/roster/targets.go
@@ -6,6 +6,13 @@
 	"github.com/endiverun/endiverun/core"
 )
 
+const (
+	// rotationTask is the name by which a host draws where it begins to send heartbeats in turn,
+	// and maxRotationOffset is one more than the highest number of periods that it draws.
+	rotationTask      = "heartbeats"
+	maxRotationOffset = 1024
+)
+
 // HeartbeatTargets returns the hosts that get a heartbeat in the period with the given
 // number. The caller counts the periods, which take 500 ms each. In a large fleet, each period
 // has only some of the peers, and hosts of the same zone have their turn most often.
@@ -13,12 +20,20 @@
 	peers := r.Peers(now)
 	r.mu.Lock()
 	s := r.schedule()
+	senders := r.liveInRegion(now)
 	r.mu.Unlock()
+	// Hosts that start together begin at different places of the rotation, so that their
+	// heartbeats do not reach another host in the same period.
+	period += int(core.RendezvousWeight(string(r.Self.Name), rotationTask) % maxRotationOffset)
+	var periods [proximityCount]int
+	for distance := range periods {
+		periods[distance] = s.periods(r.Self.Zone, proximity(distance), senders)
+	}
 	var due []core.Host
 	var seen [proximityCount]int
 	for _, p := range peers {
 		distance := s.proximityOf(p.Zone)
-		if (seen[distance]+period)%s.periods[distance] == 0 {
+		if (seen[distance]+period)%periods[distance] == 0 {
 			due = append(due, p)
 		}
 		seen[distance]++
@@ -26,6 +41,18 @@
 	return due
 }
 
+// liveInRegion returns the number of live hosts of this host's region, this one included. The
+// caller holds Roster.mu.
+func (r *Roster) liveInRegion(now time.Time) int {
+	count := 1
+	for _, m := range r.live(now) {
+		if m.host.Zone.Region == r.Self.Zone.Region {
+			count++
+		}
+	}
+	return count
+}
+
 // maxUrgentTargets is the number of hosts that get an urgent update at once. Other
 // hosts get it with their next regular heartbeat.
 const maxUrgentTargets = 100
