Let hosts that have just started grant no credits of quotas

Cause: a host grants while it hears of more than half of the registered hosts of its zone. A host that starts may find itself alone in a list that is old, and one of one is a majority; so each of the three granted the zone's whole share until the list was read again 2 s later.

Ruled out: full buckets (they begin empty), and hosts that take each other for dead.

Fix: a host says in its heartbeats that it is joining until the list of hosts has had its incarnation for two intervals of heartbeats, by when the hosts of the zone have heard of each other. Joining hosts are no grantors, and a host grants only two intervals after it said that it has joined. The price: the share of a zone that starts as a whole is not granted for about 4 s.

--- a/core/allotter/allotter.go
+++ b/core/allotter/allotter.go
@@ -14,6 +14,10 @@
 // time is covered by the tolerance of the quota. A host that becomes the grantor begins with an
 // empty bucket.
 //
+// A host that has started lately grants nothing until it and the others of its zone know each
+// other. Hosts that start together would else be many grantors at once: each knows itself only,
+// which is a majority of one.
+//
 // # Usage
 //
 //	a := &allotter.Allotter{Self: host, Zones: 6, Tolerance: allotter.Tolerance{Overage: 0.1, Slack: 20}}
@@ -79,7 +83,7 @@
 	Tolerance Tolerance
 
 	mu sync.Mutex
-	// live holds the ready hosts by zone, and zones the zones that have any, the nearest first.
+	// live holds the ready hosts by zone that may grant, and zones the zones that have any, the nearest first.
 	live      map[core.ZoneName][]core.Host
 	zones     []core.Zone
 	members   []roster.Member
@@ -100,7 +104,7 @@
 	a.members, a.updatedAt = members, now
 	a.live, a.zones, a.grantors = map[core.ZoneName][]core.Host{}, nil, map[core.Organisation][]core.Host{}
 	for _, m := range members {
-		if !m.IsReady {
+		if !m.IsReady || m.IsJoining {
 			continue
 		}
 		if len(a.live[m.Host.Zone.Name]) == 0 {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -92,6 +92,8 @@
 	// KnownBefore identifies the upstreams that the host knew before a restore of the store, while
 	// it still holds what it knew; nil if it does not or does not tell.
 	KnownBefore *core.KnownUpstreams `cbor:"14,keyasint,omitempty"`
+	// IsJoining says that the host may not know all hosts of its zone yet (Roster.HasJoined).
+	IsJoining bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Roster holds one host's view of the hosts of the fleet.
@@ -116,6 +118,8 @@
 	members   map[core.HostName]*member
 	// registrations are the hosts that the store lists.
 	registrations map[core.HostName]registration
+	// listedSince is when the store's list first had this incarnation of this host.
+	listedSince time.Time
 	// resolveCache holds results of Resolve until a host joins, leaves or changes.
 	resolveCache map[string]cachedAddresses
 }
@@ -193,6 +197,9 @@
 	next := make(map[core.HostName]registration, len(hosts))
 	for _, h := range hosts {
 		if h.Name == r.Self.Name {
+			if h.Incarnation == r.Self.Incarnation && r.listedSince.IsZero() {
+				r.listedSince = now
+			}
 			continue
 		}
 		since := now
--- a/entry/controller/upkeep.go
+++ b/entry/controller/upkeep.go
@@ -121,6 +121,7 @@
 		RemainingWarmUps: c.coldUpstreams.remaining(now),
 		LoanSteps:        uint8(c.loanSteps.Load()),
 		NeedsShares:      c.needsShares.Load(),
+		IsJoining:        !c.roster.HasJoined(now),
 	}
 	c.addLeaving(&heartbeat, now)
 	c.addReaderStatus(&heartbeat, now)
