Let a follower replace a marked list that is newer than its reader's

What callers would see: requests to upstreams that left during an outage of the store, from a host that follows a reader.

Cause: a host whose reader is lost fetches from any host, also lists in which that one retained or corrected entries. If its reader is back and has the store's list of an earlier revision, the host counts its own as newer and keeps it until the upstreams change; it does not read the store, so the request for the store's lists did not apply.

Fix: such a host reads the store itself until it has the store's lists, and then follows the reader again. While the reader itself is still in its grace period, or offers a newer list, nothing changes.

Failed before: TestFollowerReadsListsItself ("the host reads the store: false" after 10 s).

--- a/core/allotter/allotter.go
+++ b/core/allotter/allotter.go
@@ -83,7 +83,8 @@
 	Tolerance Tolerance
 
 	mu sync.Mutex
-	// live holds the ready hosts by zone that may grant, and zones the zones that have any, the nearest first.
+	// live holds the ready hosts that may grant, by zone, and zones the zones that have any, the
+	// nearest first.
 	live      map[core.ZoneName][]core.Host
 	zones     []core.Zone
 	members   []roster.Member
--- a/entry/controller/follow.go
+++ b/entry/controller/follow.go
@@ -52,6 +52,7 @@
 	waiter.Every(ctx, followInterval, func(now time.Time) {
 		reader, ok := c.roster.Reader(now)
 		ok = ok && (c.isReady.Load() || c.IsFirstStart) && c.knowsEra(reader.Revisions)
+		ok = ok && !c.mustReplaceLists(reader.Revisions, now)
 		if !ok && isStarting && c.isAwaitingReader(now.Sub(started), now) {
 			return
 		}
@@ -72,6 +73,14 @@
 	return revisions.Era >= c.replicator.Held().Era
 }
 
+// mustReplaceLists reports whether this host holds lists in which another host retained or corrected
+// entries, and a reader with the given revisions will not replace them: its own are the store's, but
+// older.
+func (c *Controller) mustReplaceLists(reader core.Revisions, now time.Time) bool {
+	isProvisional := reader.MayIncludeExpired || reader.UpstreamsSettling || reader.EvacuationsSettling
+	return !isProvisional && !c.replicator.Held().IsBehind(reader) && c.replicator.LacksStoreLists(now)
+}
+
 // isAwaitingReader reports whether a host of a fleet that starts for the first time
 // still leaves the reads of the store to others. It reads the list of hosts once they
 // have registered, and then waits for the host that should read the store for it.
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -78,6 +78,49 @@
 	<-done
 }
 
+// TestFollowerReadsListsItself guards against a host that keeps, for good, what another host retained
+// in a list after an outage, since the list of the reader that it follows again is older. It must
+// read the store until it has the store's own list, and then follow the reader.
+func TestFollowerReadsListsItself(t *testing.T) {
+	is := is.New(t)
+	upstream := core.Upstream{Name: "u-1", Service: "desk", Zone: "for-a", Address: "127.0.0.1:1", Slots: 4}
+	left := upstream
+	left.Name = "u-left"
+	reader, follower := newController("reader", upstream), newController("follower", upstream)
+	reader.Self.Capacity = 1
+	var isReading atomic.Bool
+	follower.SetReadMode = func(reading ReadMode) { isReading.Store(reading == ReadAll) }
+	address := serveSnapshots(t, reader)
+	follower.SnapshotAddress = func(core.Host) string { return address }
+	const later = 5 // The reader's list has revision 1.
+	follower.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{
+		Revision: later, List: []core.Upstream{upstream, left}, MayIncludeExpired: true,
+	}}, time.Now())
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.followReader(ctx)
+	}()
+	await := func(want bool) {
+		for start := time.Now(); isReading.Load() != want; time.Sleep(time.Millisecond) {
+			if time.Since(start) > 10*time.Second {
+				t.Errorf("the host reads the store: %v", isReading.Load())
+				return
+			}
+			revisions := reader.replicator.Snapshot().Revisions()
+			receiveHeartbeats(follower, roster.Heartbeat{Host: reader.Self, Ready: true, ReadsStore: true, Revisions: revisions})
+		}
+	}
+	follower.setReadMode(ReadNone, reader.Self.Name)
+	await(true)
+	follower.ApplyUpdate(replicator.Snapshot{Upstreams: &replicator.Upstreams{Revision: later, List: []core.Upstream{upstream}}}, time.Now())
+	await(false)
+	stop()
+	<-done
+	is.Equal(len(follower.replicator.Snapshot().Upstreams.List), 1)
+}
+
 // TestWaitingWatchHidesOutage checks that the probe detects an outage of the store
 // that begins while the host's watches are pending. No call fails then, and only the
 // probe shows that the snapshot may be outdated and that upstreams in the host's own
