Compare the new fields of heartbeats and confirmations with golden files

Hosts of different builds exchange these messages: the flag of a host that is joining, and the era in a confirmation of the policy. The golden files fix their encoding; a message without the new fields is encoded as before (the other golden files are unchanged).

--- a/entry/heartbeater/format_test.go
+++ b/entry/heartbeater/format_test.go
@@ -121,9 +121,12 @@
 		{"heartbeat-with-leaving", leavingBeat("desk-1", 1700000000002)},
 		{"heartbeat-after-restore", restoredBeat()},
 		{"heartbeat-with-knowledge", knowingBeat()},
+		{"heartbeat-of-joining-host", roster.Heartbeat{Host: core.Host{Name: "host-4"}, Ready: true, IsJoining: true}},
 		{"snapshot", fullSnapshot},
 		{"snapshot-after-restore", restoredSnapshot()},
 		{"snapshot-unread", replicator.Snapshot{}},
+		{"confirmation", heartbeater.Confirmation{Version: 5, Age: 1200 * time.Millisecond, IsKnown: true}},
+		{"confirmation-in-era", heartbeater.Confirmation{Era: 13, EraAge: 700 * time.Millisecond}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
