Let hosts that were killed grant credits as before

Cause: every host that starts waited. Only those need to that other hosts cannot find in the list: their registrations were removed at a planned stop, or never made. A host that was killed finds its earlier registration, and so the list also has the hosts that were killed with it; the majority of the registered hosts then decides, as before.

--- a/core/roster/members.go
+++ b/core/roster/members.go
@@ -18,9 +18,19 @@
 	IsJoining bool
 }
 
+// recordListed records an entry of this host in the store's list. The caller holds Roster.mu.
+func (r *Roster) recordListed(entry core.Host, now time.Time) {
+	if entry.Incarnation == r.Self.Incarnation && r.listedSince.IsZero() {
+		r.listedSince = now
+	}
+	r.wasListed = r.wasListed || r.registrations == nil && entry.Incarnation < r.Self.Incarnation
+}
+
 // HasJoined reports whether this host and the other live ones of its zone know each other. Of two
 // hosts, the one that registers later finds the other one in the list in which it finds itself, and
-// sends it heartbeats from then on, which are answered.
+// sends it heartbeats from then on, which are answered. A host that was killed need not wait: its
+// registration was not removed, nor were those of hosts that were killed with it, so that the list
+// has them all; the hosts that removed theirs wait.
 func (r *Roster) HasJoined(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,6 +50,9 @@
 func (r *Roster) isListedFor(heartbeats int, now time.Time) bool {
 	s := r.schedule()
 	needed := time.Duration(heartbeats)*s.interval(r.Self.Zone) + heartbeatPeriod
+	if r.wasListed {
+		return true
+	}
 	return !r.listedSince.IsZero() && now.Sub(r.listedSince) >= needed
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -118,8 +118,10 @@
 	members   map[core.HostName]*member
 	// registrations are the hosts that the store lists.
 	registrations map[core.HostName]registration
-	// listedSince is when the store's list first had this incarnation of this host.
+	// listedSince is when the store's list first had this incarnation of this host. wasListed says
+	// that the first list had an earlier one.
 	listedSince time.Time
+	wasListed   bool
 	// resolveCache holds results of Resolve until a host joins, leaves or changes.
 	resolveCache map[string]cachedAddresses
 }
@@ -197,9 +199,7 @@
 	next := make(map[core.HostName]registration, len(hosts))
 	for _, h := range hosts {
 		if h.Name == r.Self.Name {
-			if h.Incarnation == r.Self.Incarnation && r.listedSince.IsZero() {
-				r.listedSince = now
-			}
+			r.recordListed(h, now)
 			continue
 		}
 		since := now
