--- a/entry/controller/confirm_test.go
+++ b/entry/controller/confirm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -18,20 +17,13 @@
 // serveConfirmations serves what a host knows of the newest policy and returns the address.
 func serveConfirmations(t *testing.T, c *Controller) string {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	return serve(t, func(ctx *fasthttp.RequestCtx) {
 		data, err := c.Confirmation(timekeeper.Uptime()).Encode()
 		if err != nil {
 			t.Error(err)
 		}
 		ctx.SetBody(data)
-	}}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Shutdown() })
-	return listener.Addr().String()
+	})
 }
 
 // readPolicy lets a host read a version of the policy from the store, in the given era.
--- a/entry/controller/follow_test.go
+++ b/entry/controller/follow_test.go
@@ -17,14 +17,23 @@
 	"github.com/endiverun/endiverun/entry/heartbeater"
 )
 
-// serveSnapshots serves the snapshots of a host and returns the address.
-func serveSnapshots(t *testing.T, c *Controller) string {
+// serve serves requests of other hosts and returns the address.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
+// serveSnapshots serves the snapshots of a host and returns the address.
+func serveSnapshots(t *testing.T, c *Controller) string {
+	t.Helper()
+	return serve(t, func(ctx *fasthttp.RequestCtx) {
 		held := heartbeater.DecodeRevisions(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
 		data, err := c.Snapshot(held, time.Now())
 		if err != nil {
@@ -32,10 +41,7 @@
 			return
 		}
 		ctx.SetBody(data)
-	}}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Shutdown() })
-	return listener.Addr().String()
+	})
 }
 
 // TestFollowReader checks that a host fetches the snapshot of its zone's reader after
